--- a/core/src/main/java/dev/dandelionport/core/common/JsonFields.java
+++ b/core/src/main/java/dev/dandelionport/core/common/JsonFields.java
@@ -171,6 +171,27 @@
     return list;
   }
 
+  /** Returns a required array of {@code count} whole numbers from {@code min} to {@code max}. */
+  public List<Long> numbers(String name, int count, long min, long max) {
+    JsonNode n = get(name);
+    String rule = "must be " + count + " whole numbers from " + min + " to " + max;
+    List<Long> list = new ArrayList<>();
+    if (n == null) {
+      return absent(name, null, rule, list);
+    }
+    boolean valid = n.isArray() && n.size() == count;
+    for (int i = 0; valid && i < count; i++) {
+      JsonNode x = n.get(i);
+      valid = x.isIntegralNumber() && x.asLong() >= min && x.asLong() <= max;
+      list.add(x.asLong());
+    }
+    if (!valid) {
+      fault(name, rule + found(n));
+      return List.of();
+    }
+    return list;
+  }
+
   /** Accepts a field without reading it. */
   public void ignore(String name) {
     known.add(name);
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/CallerDesk.java
@@ -0,0 +1,125 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
+import dev.dandelionport.core.message.PeerMessage.WorkflowCall;
+import dev.dandelionport.core.message.WorkflowCallKind;
+import dev.dandelionport.core.message.WorkflowStatus;
+import dev.dandelionport.core.workflow.ClusterPolicy;
+import dev.dandelionport.core.workflow.ClusterPolicy.Account;
+import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
+import dev.dandelionport.core.workflow.WorkflowCodec;
+import dev.dandelionport.core.workflow.WorkflowScheduler;
+import dev.dandelionport.core.workflow.WorkflowSpec;
+import dev.dandelionport.core.workflow.WorkflowState;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Answers callers on behalf of the owner: routes by host and path, checks the key, submits, tells
+ * states, cancels. Guarded by the owner's shard.
+ */
+final class CallerDesk {
+
+  /** When a refused caller should come back, in milliseconds. */
+  private static final long RETRY_MILLIS = 1_000;
+
+  private final WorkflowScheduler scheduler;
+  private final Surroundings surroundings;
+  private final Set<CompletableFuture<WorkflowAnswer>> waiting = new HashSet<>();
+  private WorkflowJournal journal;
+
+  CallerDesk(WorkflowScheduler scheduler, Surroundings surroundings) {
+    this.scheduler = scheduler;
+    this.surroundings = surroundings;
+  }
+
+  void use(WorkflowJournal j) {
+    journal = j;
+  }
+
+  /** Answers a call; {@code decided} carries out what the scheduler decided about it. */
+  CompletableFuture<WorkflowAnswer> call(WorkflowCall c, Runnable decided) {
+    if (!surroundings.isPolicyCurrent()) {
+      return now(new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, RETRY_MILLIS));
+    }
+    ClusterPolicy policy = surroundings.policy();
+    Optional<Queue> route = policy.route(c.host(), c.path());
+    if (route.isEmpty()) {
+      return now(WorkflowAnswer.of(WorkflowStatus.NO_QUEUE));
+    }
+    Queue q = route.get();
+    Optional<Account> account = policy.accountOf(c.key());
+    if (account.isEmpty() && !q.open()) {
+      return now(WorkflowAnswer.of(WorkflowStatus.NO_ACCOUNT));
+    }
+    String owner = account.map(Account::name).orElse("");
+    String id = c.path().substring(q.prefix().length());
+    if (c.kind() == WorkflowCallKind.SUBMIT) {
+      return submit(c, q, owner, id, decided);
+    }
+    if (id.isEmpty()) {
+      return now(
+          c.kind() == WorkflowCallKind.READ
+              ? new WorkflowAnswer(WorkflowStatus.OK, null, scheduler.pending(q.name()), 0)
+              : WorkflowAnswer.of(WorkflowStatus.INVALID));
+    }
+    boolean known =
+        scheduler.queueOf(id).filter(q.name()::equals).isPresent()
+            && (q.open() || scheduler.accountOf(id).filter(owner::equals).isPresent());
+    if (!known) {
+      return now(WorkflowAnswer.of(WorkflowStatus.UNKNOWN_WORKFLOW));
+    }
+    if (c.kind() == WorkflowCallKind.CANCEL) {
+      scheduler.cancel(id);
+      decided.run();
+      return durable(new WorkflowAnswer(WorkflowStatus.OK, null, 0, 0));
+    }
+    WorkflowState state = scheduler.state(id).orElseThrow();
+    return now(new WorkflowAnswer(WorkflowStatus.OK, state, 0, 0));
+  }
+
+  private CompletableFuture<WorkflowAnswer> submit(
+      WorkflowCall c, Queue q, String account, String id, Runnable decided) {
+    WorkflowSpec body;
+    try {
+      body = WorkflowCodec.decodeSpec(c.body());
+    } catch (IllegalArgumentException e) {
+      // The sender checked the body before it encoded it; only another program gets here.
+      return now(WorkflowAnswer.of(WorkflowStatus.INVALID));
+    }
+    if (id.isEmpty() || body.steps().isEmpty()) {
+      return now(WorkflowAnswer.of(WorkflowStatus.INVALID));
+    }
+    WorkflowSpec spec =
+        new WorkflowSpec(
+            id, q.name(), account, body.payload(), body.steps(), body.recurrence(), false);
+    scheduler.submit(spec);
+    decided.run();
+    return durable(new WorkflowAnswer(WorkflowStatus.OK, null, 0, 0));
+  }
+
+  private CompletableFuture<WorkflowAnswer> durable(WorkflowAnswer answer) {
+    CompletableFuture<WorkflowAnswer> f = new CompletableFuture<>();
+    waiting.add(f);
+    journal.append(
+        List.of(),
+        () -> {
+          waiting.remove(f);
+          f.complete(answer);
+        });
+    return f;
+  }
+
+  private static CompletableFuture<WorkflowAnswer> now(WorkflowAnswer answer) {
+    return CompletableFuture.completedFuture(answer);
+  }
+
+  /** Tells all callers that wait that what became of their requests is not known. */
+  void close() {
+    waiting.forEach(f -> f.complete(WorkflowAnswer.of(WorkflowStatus.UNCERTAIN)));
+    waiting.clear();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchContext.java
@@ -0,0 +1,53 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.common.TimeSource;
+import dev.dandelionport.core.port.AdviceClient;
+import dev.dandelionport.core.port.InstanceInfo;
+import dev.dandelionport.core.port.PeerClient;
+import dev.dandelionport.core.port.RunnerClient;
+import dev.dandelionport.core.port.SharedStore;
+import dev.dandelionport.core.port.Timer;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+/**
+ * What the parts of an instance use.
+ *
+ * @param self this instance
+ * @param store the platform's store
+ * @param runners the platform's runners
+ * @param advice the platform's advice service
+ * @param peers the other instances
+ * @param directory decodes runners and configuration from the store
+ * @param time clocks
+ * @param timer runs actions later
+ * @param settings times that the deployment sets
+ * @param observer receives what happens, with fields by name
+ */
+public record DispatchContext(
+    InstanceInfo self,
+    SharedStore store,
+    RunnerClient runners,
+    AdviceClient advice,
+    PeerClient peers,
+    Directory directory,
+    TimeSource time,
+    Timer timer,
+    DispatchSettings settings,
+    BiConsumer<DispatchTopic, Map<String, Object>> observer) {
+
+  /** Returns the steady clock in milliseconds. */
+  long nowMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(time.monotonicNanos());
+  }
+
+  /** Reports something that happened; fields alternate between name and value. */
+  void report(DispatchTopic topic, Object... fields) {
+    Map<String, Object> map = new java.util.LinkedHashMap<>();
+    for (int i = 0; i + 1 < fields.length; i += 2) {
+      map.put(fields[i].toString(), fields[i + 1]);
+    }
+    observer.accept(topic, map);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchSettings.java
@@ -0,0 +1,29 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.workflow.WorkflowLimits;
+
+/**
+ * Times that the deployment sets, in milliseconds.
+ *
+ * @param sessionMillis life of the owner's lease in the store
+ * @param holdMillis time for which a hold lets everything on a runner run on
+ * @param policyMillis longest time for which a configuration counts as current without the store
+ * @param limits times that the scheduler needs
+ */
+public record DispatchSettings(
+    long sessionMillis, long holdMillis, long policyMillis, WorkflowLimits limits) {
+
+  /** Time after which an owner that cannot reach the store no longer extends leases. */
+  public static final long HOLD_WITHOUT_STORE_MILLIS = 4_000;
+
+  /** How much slower than ours a runner's clock may be. */
+  private static final double SLOWEST_CLOCK = 0.98;
+
+  /** Time for calls under way, in milliseconds. */
+  private static final long MARGIN_MILLIS = 250;
+
+  /** Returns the time from now after which a hold granted now has certainly ended. */
+  long surelyLapsedMillis() {
+    return (long) (holdMillis / SLOWEST_CLOCK) + MARGIN_MILLIS;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchTopic.java
@@ -0,0 +1,23 @@
+package dev.dandelionport.core.dispatch;
+
+/** What an instance reports about itself. */
+public enum DispatchTopic {
+  OWNER_CLAIMED,
+  OWNER_OPEN,
+  OWNER_LOST,
+  OWNER_SEEN,
+  POLICY_IN_FORCE,
+  POLICY_STALE,
+  DOMAINS_CLOSED,
+  STORE_LOST,
+  STORE_BACK,
+  RUNNER_SILENT,
+  RUNNER_BACK,
+  RUNNER_LAPSED,
+  BATCH_SLOW,
+  SNAPSHOT,
+  REQUEST_REFUSED,
+  ENTRY_IGNORED,
+  /** A decision of the scheduler; its fields say which. */
+  DECISION
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/HistoryReader.java
@@ -0,0 +1,86 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.port.SharedStore;
+import dev.dandelionport.core.port.SharedStore.Entry;
+import dev.dandelionport.core.port.SharedStore.Page;
+import dev.dandelionport.core.workflow.WorkflowCodec;
+import dev.dandelionport.core.workflow.WorkflowRecord;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Reads snapshot and batches. Called by an owner whose key is written, so that nobody else changes
+ * them meanwhile.
+ */
+final class HistoryReader {
+
+  /**
+   * What was read.
+   *
+   * @param records facts in order
+   * @param nextBatch number of the next batch
+   * @param firstBatch number of the oldest batch in the store
+   * @param parts keys of the snapshot
+   * @param obsolete keys that nothing refers to any more
+   */
+  record History(
+      List<WorkflowRecord> records,
+      long nextBatch,
+      long firstBatch,
+      List<String> parts,
+      List<String> obsolete) {}
+
+  private HistoryReader() {}
+
+  /** Reads all; fails if the store does not answer or the history has a hole. */
+  static CompletableFuture<History> read(SharedStore store) {
+    return page(store, "", new TreeMap<>()).thenApply(HistoryReader::decode);
+  }
+
+  private static CompletableFuture<TreeMap<String, Entry>> page(
+      SharedStore store, String after, TreeMap<String, Entry> all) {
+    return store.list(StoreKeys.HISTORY, after).thenCompose(p -> next(store, p, all));
+  }
+
+  private static CompletableFuture<TreeMap<String, Entry>> next(
+      SharedStore store, Page p, TreeMap<String, Entry> all) {
+    p.entries().forEach(e -> all.put(e.key(), e));
+    if (p.more() && !p.entries().isEmpty()) {
+      return page(store, p.entries().get(p.entries().size() - 1).key(), all);
+    }
+    return CompletableFuture.completedFuture(all);
+  }
+
+  private static History decode(TreeMap<String, Entry> all) {
+    Entry head = all.get(StoreKeys.HEAD);
+    SnapshotHead h = head == null ? new SnapshotHead(0, 0) : SnapshotHead.decode(head.value());
+    final List<WorkflowRecord> records = new ArrayList<>();
+    final List<String> parts = new ArrayList<>();
+    List<String> obsolete = new ArrayList<>();
+    for (int i = 0; i < h.parts(); i++) {
+      Entry e = all.get(StoreKeys.part(h.number(), i));
+      if (e == null) {
+        throw new IllegalStateException("snapshot " + h.number() + " lacks part " + i);
+      }
+      parts.add(e.key());
+      records.addAll(WorkflowCodec.decode(e.value()));
+    }
+    long next = h.number() + 1;
+    for (Entry e : all.values()) {
+      boolean batch = StoreKeys.isBatch(e.key());
+      long number = batch || StoreKeys.isPart(e.key()) ? StoreKeys.number(e.key()) : -1;
+      if (batch && number > h.number()) {
+        if (number != next) {
+          throw new IllegalStateException("journal batch " + next + " is missing");
+        }
+        records.addAll(WorkflowCodec.decode(e.value()));
+        next++;
+      } else if (batch || StoreKeys.isPart(e.key()) && number != h.number()) {
+        obsolete.add(e.key());
+      }
+    }
+    return new History(records, next, h.number() + 1, parts, obsolete);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -0,0 +1,239 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.common.Shard;
+import dev.dandelionport.core.dispatch.OwnerRecord.Owner;
+import dev.dandelionport.core.port.SharedStore;
+import dev.dandelionport.core.port.SharedStore.Condition;
+import dev.dandelionport.core.port.SharedStore.Entry;
+import dev.dandelionport.core.port.SharedStore.Transaction;
+import dev.dandelionport.core.port.SharedStore.Write;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * Knows which instance owns the workflows, and claims them when nobody does. A claim may replace an
+ * owner that is still alive: the journal's transactions demand the owner's key, and runners refuse
+ * its token. Guarded by the instance's shard.
+ */
+final class OwnerElection {
+
+  private static final long WATCH_MILLIS = 5_000;
+  private static final long RETRY_MILLIS = 100;
+
+  /** Part of the session's life after which it is renewed. */
+  private static final int RENEW_PARTS = 4;
+
+  private final DispatchContext context;
+  private final Shard shard;
+  private final PrefixWatch watch;
+  private final Consumer<Optional<Owner>> changed;
+  private Optional<Owner> owner = Optional.empty();
+  private boolean claiming;
+  private boolean stopped;
+  private long renewedMillis;
+
+  /** Creates an election; {@code changed} is called with the lock held. */
+  OwnerElection(DispatchContext context, Shard shard, Consumer<Optional<Owner>> changed) {
+    this.context = context;
+    this.shard = shard;
+    this.changed = changed;
+    this.watch = new PrefixWatch(context, shard, StoreKeys.OWNER, WATCH_MILLIS, this::read);
+  }
+
+  void start() {
+    watch.start();
+  }
+
+  /** Claims nothing any more, and gives up what it has. */
+  void stop() {
+    stopped = true;
+    if (isOwn()) {
+      long lease = owner.get().lease();
+      shard.afterwards(
+          () ->
+              context
+                  .store()
+                  .end(lease)
+                  .exceptionally(
+                      e -> {
+                        // Without an answer the lease runs out by itself.
+                        context.report(
+                            DispatchTopic.STORE_LOST, "call", "end", "error", e.toString());
+                        return null;
+                      }));
+      owner = Optional.empty();
+      changed.accept(owner);
+    }
+  }
+
+  Optional<Owner> owner() {
+    return owner;
+  }
+
+  boolean isOwn() {
+    return owner.isPresent() && owner.get().info().equals(context.self());
+  }
+
+  boolean isReadable() {
+    return watch.isListed() && !watch.isFailing();
+  }
+
+  private void read() {
+    Optional<Owner> found = Optional.empty();
+    for (Entry e : watch.entries()) {
+      if (e.key().equals(StoreKeys.OWNER)) {
+        try {
+          found = Optional.of(OwnerRecord.decode(e));
+        } catch (IllegalArgumentException x) {
+          context.report(DispatchTopic.ENTRY_IGNORED, "key", e.key(), "revision", e.revision());
+        }
+      }
+    }
+    see(found);
+  }
+
+  private void see(Optional<Owner> found) {
+    boolean older =
+        found.isPresent() && owner.isPresent() && found.get().revision() < owner.get().revision();
+    if (older) {
+      return;
+    }
+    if (!found.equals(owner)) {
+      owner = found;
+      changed.accept(owner);
+    }
+    if (found.isEmpty()) {
+      claim(SharedStore.ABSENT);
+    }
+  }
+
+  /** Replaces an owner whose process has ended. */
+  void replace(Owner former) {
+    if (owner.filter(o -> o.revision() == former.revision()).isPresent()) {
+      claim(former.revision());
+    }
+  }
+
+  /** Claims the workflows if the owner's key still has a revision. */
+  private void claim(long revision) {
+    if (claiming || stopped || !watch.isListed()) {
+      return;
+    }
+    claiming = true;
+    shard.afterwards(
+        () ->
+            context
+                .store()
+                .grant(context.settings().sessionMillis())
+                .thenCompose(
+                    lease ->
+                        context
+                            .store()
+                            .commit(
+                                new Transaction(
+                                    List.of(new Condition(StoreKeys.OWNER, revision)),
+                                    List.of(
+                                        new Write(
+                                            StoreKeys.OWNER,
+                                            OwnerRecord.encode(context.self()),
+                                            lease)),
+                                    List.of()))
+                            .thenApply(o -> new Claimed(lease, o)))
+                .whenComplete((c, e) -> shard.run(() -> claimed(c, e))));
+  }
+
+  private record Claimed(long lease, SharedStore.Outcome outcome) {}
+
+  private void claimed(Claimed c, Throwable e) {
+    if (e == null && c.outcome() instanceof SharedStore.Committed done) {
+      claiming = false;
+      final Optional<Owner> former = owner;
+      renewedMillis = context.nowMillis();
+      see(Optional.of(new Owner(context.self(), done.revision(), c.lease())));
+      former
+          .filter(f -> f.lease() != SharedStore.NO_LEASE && !f.info().equals(context.self()))
+          .ifPresent(f -> shard.afterwards(() -> endQuietly(f.lease())));
+      return;
+    }
+    // The claim may have been carried out all the same; the key tells.
+    shard.afterwards(
+        () ->
+            context
+                .timer()
+                .schedule(
+                    e == null ? 0 : RETRY_MILLIS,
+                    () ->
+                        context
+                            .store()
+                            .get(StoreKeys.OWNER)
+                            .whenComplete((x, e2) -> shard.run(() -> checked(x, e2)))));
+  }
+
+  private void endQuietly(long lease) {
+    context
+        .store()
+        .end(lease)
+        .whenComplete(
+            (v, e) -> {
+              if (e != null) {
+                // The former owner's lease then runs out by itself.
+                context.report(DispatchTopic.STORE_LOST, "call", "end", "error", e.toString());
+              }
+            });
+  }
+
+  private void checked(Optional<Entry> entry, Throwable e) {
+    claiming = false;
+    if (stopped) {
+      return;
+    }
+    if (e != null) {
+      claiming = true;
+      claimed(null, e);
+      return;
+    }
+    Optional<Owner> found = Optional.empty();
+    try {
+      found = entry.map(OwnerRecord::decode);
+    } catch (IllegalArgumentException x) {
+      context.report(DispatchTopic.ENTRY_IGNORED, "key", StoreKeys.OWNER);
+    }
+    see(found);
+  }
+
+  /** Renews the own lease when it is time; {@code renewed} gets the time of the call. */
+  void renew(Consumer<Long> renewed) {
+    long now = context.nowMillis();
+    if (!isOwn() || now - renewedMillis < context.settings().sessionMillis() / RENEW_PARTS) {
+      return;
+    }
+    renewedMillis = now;
+    final Owner mine = owner.get();
+    shard.afterwards(
+        () ->
+            context
+                .store()
+                .keep(mine.lease())
+                .whenComplete(
+                    (ok, e) ->
+                        shard.run(
+                            () -> {
+                              if (e == null && ok) {
+                                renewed.accept(now);
+                              } else if (e == null && owner.equals(Optional.of(mine))) {
+                                lose(mine);
+                              }
+                            })));
+  }
+
+  /** Notes that the own key no longer stands. */
+  void lose(Owner mine) {
+    if (owner.equals(Optional.of(mine)) && isOwn()) {
+      owner = Optional.empty();
+      changed.accept(owner);
+      claiming = true;
+      claimed(null, null);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -0,0 +1,309 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.common.Shard;
+import dev.dandelionport.core.port.RunnerClient;
+import dev.dandelionport.core.port.RunnerClient.Address;
+import dev.dandelionport.core.port.RunnerClient.HoldAnswer;
+import dev.dandelionport.core.port.RunnerClient.StartAnswer;
+import dev.dandelionport.core.workflow.RunnerReport;
+import dev.dandelionport.core.workflow.StartOrder;
+import dev.dandelionport.core.workflow.StartResult;
+import dev.dandelionport.core.workflow.TaskKey;
+import dev.dandelionport.core.workflow.WorkflowScheduler;
+
+/**
+ * Talks to one runner: keeps a hold waiting there while something runs on it, gives orders, and
+ * knows until when leases can hold. Guarded by the owner's shard.
+ */
+final class RunnerLink {
+
+  /** Time that a hold waits for an end, in milliseconds. */
+  private static final long WAIT_MILLIS = 1_500;
+
+  /** Time for a call and its answer, in milliseconds. */
+  private static final long CALL_MILLIS = 400;
+
+  /** Time after which a start counts as not answered, in milliseconds. */
+  private static final long START_MILLIS = 300;
+
+  /** Wait before a runner that did not answer is asked again, in milliseconds. */
+  private static final long RETRY_MILLIS = 200;
+
+  /** Longest wait before a runner that stays silent is asked again, in milliseconds. */
+  private static final long MAX_RETRY_MILLIS = 1_000;
+
+  /** Time for which ends wait for the journal before leases are extended all the same. */
+  private static final long UNACKED_MILLIS = 1_000;
+
+  /** What the link needs of its owner. */
+  interface Host {
+    WorkflowScheduler scheduler();
+
+    /** Runs what the scheduler decided, and starts what fits. */
+    void decided();
+
+    /** Runs {@code action} once all records so far are durable. */
+    void whenDurable(Runnable action);
+
+    /** Returns whether the owner may still extend leases. */
+    boolean mayHold();
+
+    /** Called when the runner obeys a newer owner. */
+    void fenced();
+  }
+
+  private final DispatchContext context;
+  private final Shard shard;
+  private final Host host;
+  private final long token;
+  private Address address;
+
+  /** The runner's clock less our steady clock, from its latest answer. */
+  private long clockOffset;
+
+  private boolean clockKnown;
+  private boolean answered;
+  private boolean holding;
+  private boolean looking;
+  private boolean silentReported;
+  private long born;
+  private long lastEnd;
+  private long ackedEnd;
+
+  /** Whether ends were listed whose records are not durable yet. */
+  private boolean endsPending;
+
+  private long notBeforeMillis;
+  private long lastSentMillis;
+  private int failures;
+
+  /** When all leases on the runner have certainly run out, on the steady clock. */
+  private long lapsedAtMillis;
+
+  RunnerLink(
+      DispatchContext context,
+      Shard shard,
+      Host host,
+      long token,
+      Address address,
+      long lapsedAtMillis) {
+    this.context = context;
+    this.shard = shard;
+    this.host = host;
+    this.token = token;
+    this.address = address;
+    this.lapsedAtMillis = lapsedAtMillis;
+  }
+
+  /** Takes over where the runner is reached; empty if that is not known. */
+  void setAddress(Address a) {
+    if (!a.equals(address)) {
+      address = a;
+      notBeforeMillis = 0;
+    }
+  }
+
+  private String id() {
+    return address.runner();
+  }
+
+  /** Asks the runner if something is to be learnt or its leases must be extended. */
+  void wake() {
+    long now = context.nowMillis();
+    if (now > lapsedAtMillis && failures > 0 && host.scheduler().hasRuns(id())) {
+      context.report(DispatchTopic.RUNNER_LAPSED, "runner", id());
+      host.scheduler().lapsed(id());
+      host.decided();
+    }
+    if (address.hostPort().isEmpty()) {
+      failures = Math.max(1, failures);
+      return;
+    }
+    boolean awaits = host.scheduler().awaitsReport(id());
+    boolean needed = !answered || failures > 0 || endsPending || awaits;
+    if (!needed && !host.scheduler().hasRuns(id())) {
+      return;
+    }
+    if (awaits && holding && !looking && now >= notBeforeMillis) {
+      looking = true;
+      hold(0, true);
+    }
+    if (holding || now < notBeforeMillis) {
+      return;
+    }
+    if (endsPending && now - lastSentMillis < UNACKED_MILLIS) {
+      return;
+    }
+    holding = true;
+    hold(answered && failures == 0 && !endsPending && !awaits ? WAIT_MILLIS : 0, false);
+  }
+
+  private void hold(long waitMillis, boolean look) {
+    long now = context.nowMillis();
+    lastSentMillis = now;
+    long until = RunnerClient.NO_TIME;
+    if (clockKnown && host.mayHold() && host.scheduler().hasRuns(id())) {
+      until = until(now);
+    }
+    final long granted = until;
+    final Address to = address;
+    final long acked = ackedEnd;
+    shard.afterwards(
+        () ->
+            context
+                .runners()
+                .hold(to, token, acked, granted, waitMillis, waitMillis + CALL_MILLIS)
+                .whenComplete((a, e) -> shard.run(() -> held(a, e, now, look))));
+  }
+
+  private long until(long now) {
+    lapsedAtMillis = Math.max(lapsedAtMillis, now + context.settings().surelyLapsedMillis());
+    return now + clockOffset + context.settings().holdMillis();
+  }
+
+  private void held(HoldAnswer a, Throwable e, long sent, boolean look) {
+    if (look) {
+      looking = false;
+    } else {
+      holding = false;
+    }
+    if (e != null) {
+      failed();
+      return;
+    }
+    if (a.fenced()) {
+      host.fenced();
+      return;
+    }
+    report(a.report(), sent);
+  }
+
+  private void report(RunnerReport r, long sent) {
+    if (r.born() != born) {
+      born = r.born();
+      lastEnd = 0;
+      ackedEnd = 0;
+    }
+    if (failures > 0 && silentReported) {
+      context.report(DispatchTopic.RUNNER_BACK, "runner", id(), "failures", failures);
+    }
+    silentReported = false;
+    failures = 0;
+    notBeforeMillis = 0;
+    answered = true;
+    clock(r.clockMillis());
+    host.scheduler().report(id(), r, sent);
+    if (!r.ends().isEmpty()) {
+      long last = r.ends().get(r.ends().size() - 1).number();
+      lastEnd = Math.max(lastEnd, last);
+      endsPending = lastEnd > ackedEnd;
+    }
+    host.decided();
+    if (endsPending) {
+      final long durable = lastEnd;
+      final long life = born;
+      host.whenDurable(
+          () -> {
+            if (life == born) {
+              ackedEnd = Math.max(ackedEnd, durable);
+              endsPending = lastEnd > ackedEnd;
+              if (!endsPending) {
+                acknowledge();
+              }
+            }
+          });
+    }
+    wake();
+  }
+
+  /** Sends the next hold, which acknowledges the ends, also if nothing runs there any more. */
+  private void acknowledge() {
+    if (!holding) {
+      holding = true;
+      hold(host.scheduler().hasRuns(id()) ? WAIT_MILLIS : 0, false);
+    }
+  }
+
+  private void clock(long clockMillis) {
+    if (clockMillis != RunnerClient.NO_TIME) {
+      clockOffset = clockMillis - context.nowMillis();
+      clockKnown = true;
+    }
+  }
+
+  private void failed() {
+    failures++;
+    long wait = Math.min(MAX_RETRY_MILLIS, RETRY_MILLIS * failures);
+    notBeforeMillis = context.nowMillis() + (failures == 1 ? 0 : wait);
+    if (failures == 2 && !silentReported) {
+      silentReported = true;
+      context.report(DispatchTopic.RUNNER_SILENT, "runner", id());
+    }
+    if (failures > 1) {
+      host.scheduler().silent(id());
+    }
+    wake();
+  }
+
+  /** Sends a start whose record is durable. */
+  void start(StartOrder order) {
+    if (!clockKnown) {
+      startAnswered(order, StartResult.UNHEALTHY, RunnerClient.NO_TIME);
+      return;
+    }
+    long until = until(context.nowMillis());
+    Address to = address;
+    shard.afterwards(
+        () ->
+            context
+                .runners()
+                .start(to, order, until, token, START_MILLIS)
+                .whenComplete((a, e) -> shard.run(() -> started(order, a, e))));
+  }
+
+  private void started(StartOrder order, StartAnswer a, Throwable e) {
+    if (e != null) {
+      startAnswered(order, StartResult.UNKNOWN, RunnerClient.NO_TIME);
+    } else {
+      startAnswered(order, a.result(), a.clockMillis());
+    }
+  }
+
+  private void startAnswered(StartOrder order, StartResult result, long clockMillis) {
+    clock(clockMillis);
+    host.scheduler().startAnswered(order.task(), order.run(), id(), result);
+    host.decided();
+    if (result == StartResult.FENCED) {
+      host.fenced();
+    }
+    wake();
+  }
+
+  /** Sends a stop. */
+  void stop(TaskKey task, int run) {
+    if (address.hostPort().isEmpty()) {
+      return;
+    }
+    Address to = address;
+    shard.afterwards(
+        () ->
+            context
+                .runners()
+                .stop(to, task, run, token, CALL_MILLIS)
+                .whenComplete((ok, e) -> shard.run(() -> stopped(task, run, ok, e))));
+  }
+
+  private void stopped(TaskKey task, int run, Boolean ok, Throwable e) {
+    if (e != null) {
+      // The scheduler sends it again while the run is not known to have ended.
+      return;
+    }
+    if (!ok) {
+      host.fenced();
+      return;
+    }
+    host.scheduler().stopAnswered(task, run, id());
+    host.decided();
+    wake();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/StoreKeys.java
@@ -0,0 +1,53 @@
+package dev.dandelionport.core.dispatch;
+
+import java.util.Locale;
+
+/** Keys of the workflows in the store. */
+public final class StoreKeys {
+
+  /** Prefix of all keys. */
+  public static final String PREFIX = "dandelionport/";
+
+  /** The owner of the workflows; attached to its lease. */
+  public static final String OWNER = PREFIX + "owner";
+
+  /** Prefix of journal batches and snapshots. */
+  public static final String HISTORY = PREFIX + "history/";
+
+  /** The newest complete snapshot. */
+  public static final String HEAD = HISTORY + "head";
+
+  private static final String JOURNAL = HISTORY + "journal/";
+  private static final String SNAPSHOT = HISTORY + "snapshot/";
+
+  private StoreKeys() {}
+
+  /** Returns the key of a journal batch. */
+  static String batch(long number) {
+    return JOURNAL + digits(number);
+  }
+
+  /** Returns the key of a part of the snapshot that replaces all batches up to a number. */
+  static String part(long number, int part) {
+    return SNAPSHOT + digits(number) + "/" + String.format(Locale.ROOT, "%04d", part);
+  }
+
+  static boolean isBatch(String key) {
+    return key.startsWith(JOURNAL);
+  }
+
+  static boolean isPart(String key) {
+    return key.startsWith(SNAPSHOT);
+  }
+
+  /** Returns the number in the key of a batch or of a snapshot's part. */
+  static long number(String key) {
+    String rest = key.substring((isBatch(key) ? JOURNAL : SNAPSHOT).length());
+    int slash = rest.indexOf('/');
+    return Long.parseLong(slash < 0 ? rest : rest.substring(0, slash));
+  }
+
+  private static String digits(long number) {
+    return String.format(Locale.ROOT, "%015d", number);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -0,0 +1,356 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.common.Shard;
+import dev.dandelionport.core.dispatch.HistoryReader.History;
+import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
+import dev.dandelionport.core.message.PeerMessage.WorkflowCall;
+import dev.dandelionport.core.message.WorkflowStatus;
+import dev.dandelionport.core.port.InstanceInfo;
+import dev.dandelionport.core.port.RunnerClient.Address;
+import dev.dandelionport.core.workflow.StartOrder;
+import dev.dandelionport.core.workflow.WorkflowDecision;
+import dev.dandelionport.core.workflow.WorkflowEffect;
+import dev.dandelionport.core.workflow.WorkflowFigures;
+import dev.dandelionport.core.workflow.WorkflowRecord;
+import dev.dandelionport.core.workflow.WorkflowScheduler;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Owns all workflows for as long as its key in the store stands: rebuilds them, then schedules. One
+ * object for each time that the instance becomes the owner.
+ */
+final class WorkflowOwner implements RunnerLink.Host {
+
+  /** Interval of checks that no message triggers, in milliseconds. */
+  private static final long TICK_MILLIS = 50;
+
+  /** Shortest time between two passes of the placement, in milliseconds. */
+  private static final long PASS_MILLIS = 4;
+
+  /** Interval at which workflows that ended long ago are forgotten, in milliseconds. */
+  private static final long FORGET_MILLIS = 5_000;
+
+  private final DispatchContext context;
+  private final Shard shard;
+  private final long revision;
+  private final Runnable lost;
+  private final WorkflowScheduler scheduler;
+  private final Surroundings surroundings;
+  private final AdviceLanes lanes;
+  private final CallerDesk desk;
+  private final Map<String, RunnerLink> links = new HashMap<>();
+  private final long formerLapsedMillis;
+  private final long claimedMillis;
+  private WorkflowJournal journal;
+  private boolean open;
+  private boolean ended;
+  private boolean passScheduled;
+  private long passMillis;
+  private long forgetMillis;
+  private long storeSeenMillis;
+
+  /**
+   * Creates an owner whose key has {@code revision}, which is also its fencing token.
+   *
+   * @param lost called once, outside the lock, when another instance is the owner
+   */
+  WorkflowOwner(DispatchContext context, Shard shard, long revision, Runnable lost) {
+    this.context = context;
+    this.shard = shard;
+    this.revision = revision;
+    this.lost = lost;
+    this.scheduler = new WorkflowScheduler(context.settings().limits());
+    this.surroundings = new Surroundings(context, shard, this::surroundingsChanged);
+    this.lanes = new AdviceLanes(context, shard, this::advised);
+    this.desk = new CallerDesk(scheduler, surroundings);
+    this.claimedMillis = context.nowMillis();
+    this.storeSeenMillis = claimedMillis;
+    this.formerLapsedMillis =
+        claimedMillis
+            + DispatchSettings.HOLD_WITHOUT_STORE_MILLIS
+            + context.settings().surelyLapsedMillis();
+  }
+
+  /** Reads the history and starts; call it without the lock. */
+  void start() {
+    shard.run(surroundings::start);
+    read();
+  }
+
+  private void read() {
+    HistoryReader.read(context.store()).whenComplete((h, e) -> shard.run(() -> replay(h, e)));
+  }
+
+  private void replay(History h, Throwable e) {
+    if (ended) {
+      return;
+    }
+    if (e != null) {
+      context.report(DispatchTopic.STORE_LOST, "call", "history", "error", String.valueOf(e));
+      shard.afterwards(() -> context.timer().schedule(TICK_MILLIS, this::read));
+      return;
+    }
+    now();
+    for (WorkflowRecord r : h.records()) {
+      scheduler.replay(r);
+    }
+    scheduler.replayed();
+    journal =
+        new WorkflowJournal(
+            context,
+            shard,
+            revision,
+            h.nextBatch(),
+            h.firstBatch(),
+            h.parts(),
+            h.obsolete(),
+            this::fenced);
+    desk.use(journal);
+    context.report(
+        DispatchTopic.OWNER_CLAIMED,
+        "token",
+        revision,
+        "records",
+        h.records().size(),
+        "batches",
+        h.nextBatch() - h.firstBatch(),
+        "millis",
+        context.nowMillis() - claimedMillis);
+    surroundingsChanged();
+    tick();
+  }
+
+  private void now() {
+    scheduler.at(context.nowMillis(), context.time().wallMillis());
+  }
+
+  private void surroundingsChanged() {
+    if (journal == null || ended || !surroundings.isKnown()) {
+      return;
+    }
+    now();
+    if (!scheduler.setPolicy(surroundings.policy())) {
+      // The store was read before the newest change that a former owner had seen.
+      return;
+    }
+    scheduler.setClosedDomains(surroundings.closedDomains());
+    scheduler.setRunners(surroundings.runners());
+    surroundings.runners().forEach(r -> link(r.id()).setAddress(new Address(r.id(), r.address())));
+    if (!open) {
+      open = true;
+      context.report(
+          DispatchTopic.OWNER_OPEN,
+          "token",
+          revision,
+          "policy",
+          surroundings.policy().version(),
+          "runners",
+          surroundings.runners().size(),
+          "millis",
+          context.nowMillis() - claimedMillis);
+    }
+    decided();
+    links.values().forEach(RunnerLink::wake);
+  }
+
+  private RunnerLink link(String runner) {
+    return links.computeIfAbsent(
+        runner,
+        k ->
+            new RunnerLink(context, shard, this, revision, new Address(k, ""), formerLapsedMillis));
+  }
+
+  private void tick() {
+    if (ended) {
+      return;
+    }
+    now();
+    if (open) {
+      surroundings.expire();
+      scheduler.tick();
+      long now = context.nowMillis();
+      if (now >= forgetMillis) {
+        forgetMillis = now + FORGET_MILLIS;
+        scheduler.forget();
+      }
+      decided();
+      for (String id : scheduler.runnersWithRuns()) {
+        link(id);
+      }
+      new ArrayList<>(links.values()).forEach(RunnerLink::wake);
+      if (journal.wantsSnapshot()) {
+        journal.snapshot(scheduler.snapshot());
+      }
+    }
+    shard.afterwards(() -> context.timer().schedule(TICK_MILLIS, () -> shard.run(this::tick)));
+  }
+
+  @Override
+  public WorkflowScheduler scheduler() {
+    now();
+    return scheduler;
+  }
+
+  @Override
+  public void decided() {
+    take();
+    if (!open || ended) {
+      return;
+    }
+    long now = context.nowMillis();
+    if (now - passMillis >= PASS_MILLIS) {
+      pass();
+    } else if (!passScheduled) {
+      passScheduled = true;
+      shard.afterwards(
+          () ->
+              context
+                  .timer()
+                  .schedule(
+                      PASS_MILLIS,
+                      () ->
+                          shard.run(
+                              () -> {
+                                passScheduled = false;
+                                if (!ended) {
+                                  pass();
+                                }
+                              })));
+    }
+  }
+
+  private void pass() {
+    now();
+    passMillis = context.nowMillis();
+    scheduler.place();
+    take();
+  }
+
+  /** Carries out what was decided since the last call. */
+  private void take() {
+    WorkflowDecision d = scheduler.takeDecision();
+    if (ended || d.records().isEmpty() && d.effects().isEmpty()) {
+      return;
+    }
+    List<WorkflowEffect> later = new ArrayList<>();
+    for (WorkflowEffect e : d.effects()) {
+      if (e instanceof WorkflowEffect.Stop s) {
+        link(s.runner()).stop(s.task(), s.run());
+      } else if (e instanceof WorkflowEffect.Ask a) {
+        lanes.ask(a);
+      } else if (e instanceof WorkflowEffect.Note n) {
+        note(n);
+      } else {
+        later.add(e);
+      }
+    }
+    if (!d.records().isEmpty() || !later.isEmpty()) {
+      journal.append(d.records(), () -> durable(later));
+    }
+  }
+
+  private void note(WorkflowEffect.Note n) {
+    Object[] fields = new Object[n.fields().size() + 2];
+    fields[0] = "decision";
+    fields[1] = n.topic().name();
+    for (int i = 0; i < n.fields().size(); i++) {
+      fields[i + 2] = n.fields().get(i);
+    }
+    shard.afterwards(() -> context.report(DispatchTopic.DECISION, fields));
+  }
+
+  private void durable(List<WorkflowEffect> effects) {
+    storeSeenMillis = context.nowMillis();
+    for (WorkflowEffect e : effects) {
+      if (e instanceof WorkflowEffect.Start s) {
+        Optional<StartOrder> order = scheduler().mayStillStart(s.task(), s.run(), s.runner());
+        order.ifPresent(o -> link(s.runner()).start(o));
+        if (order.isEmpty()) {
+          decided();
+        }
+      } else if (e instanceof WorkflowEffect.Show s) {
+        scheduler.shown(s.workflow(), s.state());
+      }
+    }
+  }
+
+  @Override
+  public void whenDurable(Runnable action) {
+    journal.append(List.of(), action::run);
+  }
+
+  @Override
+  public boolean mayHold() {
+    long seen = Math.max(storeSeenMillis, surroundings.seenMillis());
+    return context.nowMillis() - seen < DispatchSettings.HOLD_WITHOUT_STORE_MILLIS;
+  }
+
+  /** Notes that the owner's lease was renewed by a call sent at a time. */
+  void renewed(long sentMillis) {
+    storeSeenMillis = Math.max(storeSeenMillis, sentMillis);
+  }
+
+  @Override
+  public void fenced() {
+    if (!ended) {
+      end();
+      shard.afterwards(lost::run);
+    }
+  }
+
+  /** Stops acting; call it with the lock held. */
+  void end() {
+    ended = true;
+    open = false;
+    surroundings.stop();
+    if (journal != null) {
+      journal.stop();
+    }
+    desk.close();
+  }
+
+  private void advised(WorkflowEffect.Ask ask, Map<String, String> tickets, long validMillis) {
+    if (ended) {
+      return;
+    }
+    scheduler().advised(ask.step(), ask.runners(), tickets, validMillis);
+    decided();
+  }
+
+  /** Notes that an instance is there to help. */
+  void heard(InstanceInfo member) {
+    lanes.heard(member);
+  }
+
+  boolean isOpen() {
+    return open && !ended;
+  }
+
+  /** Returns since when the store has not answered, in milliseconds; 0 if it does. */
+  long storeSilentMillis() {
+    return context.nowMillis() - Math.max(storeSeenMillis, surroundings.seenMillis());
+  }
+
+  boolean isDrained() {
+    return journal == null || journal.isIdle();
+  }
+
+  /** Answers a caller; completes once what it says is durable. Call it with the lock held. */
+  CompletableFuture<WorkflowAnswer> call(WorkflowCall c) {
+    if (!isOpen()) {
+      return CompletableFuture.completedFuture(WorkflowAnswer.of(WorkflowStatus.NOT_OWNER));
+    }
+    now();
+    CompletableFuture<WorkflowAnswer> answer = desk.call(c, this::decided);
+    return answer;
+  }
+
+  WorkflowFigures figures() {
+    return scheduler.figures();
+  }
+}
--- a/core/src/main/java/dev/dandelionport/core/message/PeerMessage.java
+++ b/core/src/main/java/dev/dandelionport/core/message/PeerMessage.java
@@ -8,9 +8,13 @@
 import dev.dandelionport.core.common.TeamId;
 import dev.dandelionport.core.manifest.Manifest;
 import dev.dandelionport.core.ownership.AssignmentTable;
+import dev.dandelionport.core.port.InstanceInfo;
 import dev.dandelionport.core.scheduler.Explanation;
 import dev.dandelionport.core.scheduler.JobSpec;
+import dev.dandelionport.core.workflow.StepKey;
+import dev.dandelionport.core.workflow.WorkflowState;
 import java.util.List;
+import java.util.Map;
 
 /** A message from one instance to another. */
 public sealed interface PeerMessage {
@@ -124,6 +128,48 @@
   record InspectAnswer(long manifestVersion, PartitionFigures figures, Explanation explanation)
       implements PeerMessage {}
 
+  /**
+   * Hands a caller's request to the owner of the workflows.
+   *
+   * @param kind what the caller wants
+   * @param host host that the caller named
+   * @param path path that the caller named
+   * @param key API key, empty for none
+   * @param body the encoded workflow of a submission, else empty
+   */
+  record WorkflowCall(WorkflowCallKind kind, String host, String path, String key, byte[] body)
+      implements PeerMessage {}
+
+  /**
+   * Answers a {@link WorkflowCall}.
+   *
+   * @param status what became of the request
+   * @param state state of the workflow, or null
+   * @param pending number of workflows that wait
+   * @param retryMillis when a refused caller should come back, milliseconds from now
+   */
+  record WorkflowAnswer(WorkflowStatus status, WorkflowState state, int pending, long retryMillis)
+      implements PeerMessage {
+
+    /** Answers with a status only. */
+    public static WorkflowAnswer of(WorkflowStatus status) {
+      return new WorkflowAnswer(status, null, 0, 0);
+    }
+  }
+
+  /** Tells the owner of the workflows which instance is there to help. */
+  record MemberCall(InstanceInfo member) implements PeerMessage {}
+
+  /** Answers a {@link MemberCall}: whether the receiver is the owner and serves. */
+  record MemberAnswer(boolean owner, boolean serves) implements PeerMessage {}
+
+  /** Asks an instance to ask for advice on behalf of the owner. */
+  record AdviceCall(StepKey step, List<String> runners, long timeoutMillis)
+      implements PeerMessage {}
+
+  /** Answers an {@link AdviceCall}; {@code tickets} is null if the service did not answer. */
+  record AdviceAnswer(Map<String, String> tickets, long validMillis) implements PeerMessage {}
+
   /** Acknowledges a message that has no other answer. */
   record Ack() implements PeerMessage {}
 }
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Cell.java
@@ -0,0 +1,144 @@
+package dev.dandelionport.core.workflow;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** Everything that the parts of {@link WorkflowScheduler} work on. */
+final class Cell {
+  final WorkflowLimits limits;
+  final Map<String, Workflow> workflows = new LinkedHashMap<>();
+  final Map<String, Runner> runners = new TreeMap<>();
+  final RunTimes times = new RunTimes();
+
+  /** Steps whose turn has come and that have tasks left, in the order in which they are placed. */
+  final TreeSet<Step> ready =
+      new TreeSet<>(
+          Comparator.comparingInt((Step s) -> s.priority)
+              .thenComparing(s -> s.workflow.spec.excess())
+              .thenComparingLong(s -> s.dueMillis)
+              .thenComparing(s -> s.key.toString()));
+
+  /** What each account has running, also what is being stopped. */
+  private final Map<String, ResourceVector> running = new HashMap<>();
+
+  ClusterPolicy policy = ClusterPolicy.NONE;
+  Set<String> closedDomains = Set.of();
+
+  /** The owner's steady clock, in milliseconds. */
+  long now;
+
+  /** Wall-clock time, milliseconds since 1970. */
+  long wallMillis;
+
+  /** Newest version of the configuration that an owner has acted on. */
+  long policySeen = -1;
+
+  private List<WorkflowRecord> records = new ArrayList<>();
+  private List<WorkflowEffect> effects = new ArrayList<>();
+
+  Cell(WorkflowLimits limits) {
+    this.limits = limits;
+  }
+
+  void record(WorkflowRecord r) {
+    records.add(r);
+  }
+
+  void effect(WorkflowEffect e) {
+    effects.add(e);
+  }
+
+  void note(WorkflowEffect.Topic topic, Object... fields) {
+    effects.add(new WorkflowEffect.Note(topic, List.of(fields)));
+  }
+
+  WorkflowDecision takeDecision() {
+    WorkflowDecision d = new WorkflowDecision(records, effects);
+    records = new ArrayList<>();
+    effects = new ArrayList<>();
+    return d;
+  }
+
+  Task task(TaskKey k) {
+    Workflow w = workflows.get(k.workflow());
+    Step s = w == null ? null : w.step(k.occurrence(), k.step());
+    return s == null || k.index() < 0 || k.index() >= s.tasks.size()
+        ? null
+        : s.tasks.get(k.index());
+  }
+
+  Step step(StepKey k) {
+    Workflow w = workflows.get(k.workflow());
+    return w == null ? null : w.step(k.occurrence(), k.step());
+  }
+
+  Queue queueOf(Step s) {
+    return policy.queues().get(s.workflow.spec.queue());
+  }
+
+  ResourceVector running(String account) {
+    return running.getOrDefault(account, ResourceVector.ZERO);
+  }
+
+  /** Counts a run that may be under way on its runner and for its account. */
+  void occupy(Run r) {
+    r.runner.add(r);
+    running.merge(
+        r.task.step.workflow.spec.account(), r.task.step.spec.size(), ResourceVector::plus);
+  }
+
+  /** Frees what a run took. */
+  void release(Run r) {
+    r.runner.remove(r);
+    running.merge(
+        r.task.step.workflow.spec.account(), r.task.step.spec.size(), ResourceVector::minus);
+  }
+
+  /** Returns how many more tasks of a step its account's ceiling allows. */
+  int allowedByCeiling(Step s) {
+    ClusterPolicy.Account a = policy.accounts().get(s.workflow.spec.account());
+    if (a == null) {
+      return Integer.MAX_VALUE;
+    }
+    ResourceVector used = running(a.name());
+    ResourceVector size = s.spec.size();
+    long n = copies(a.ceiling().milliCores(), used.milliCores(), size.milliCores());
+    n = Math.min(n, copies(a.ceiling().memoryMb(), used.memoryMb(), size.memoryMb()));
+    n = Math.min(n, copies(a.ceiling().accelerators(), used.accelerators(), size.accelerators()));
+    return (int) Math.min(n, Integer.MAX_VALUE);
+  }
+
+  private static long copies(long ceiling, long used, long size) {
+    if (ceiling <= 0 || size <= 0) {
+      return Integer.MAX_VALUE;
+    }
+    return Math.max(0, (ceiling - used) / size);
+  }
+
+  /** Puts a step whose turn has come where its priority and its due time say. */
+  void enqueue(Step s) {
+    ready.remove(s);
+    Queue q = queueOf(s);
+    s.priority = q == null ? Integer.MAX_VALUE : q.priority();
+    double slack = q == null ? 1 : q.slackFactor();
+    long goal = q == null ? 0 : q.goalMillis();
+    long start = s.workflow.acceptedMillis;
+    long dueWall = s.workflow.spec.recurrence().dueMillis(s.key.occurrence());
+    if (dueWall > 0) {
+      start = now + dueWall - wallMillis;
+    }
+    s.dueMillis = start + goal + (long) (slack * s.workflow.spec.chainMillis());
+    if (s.isReady()) {
+      ready.add(s);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -0,0 +1,198 @@
+package dev.dandelionport.core.workflow;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
+import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Chooses runners for the tasks of the steps whose turn has come. */
+final class Placement {
+
+  /** Steps that are looked at in one pass; bounds its time. */
+  private static final int MAX_STEPS = 200;
+
+  /** Gangs for which a pass keeps runners free of less urgent work. */
+  private static final int MAX_RESERVING = 2;
+
+  /** One part in this many of a runner is kept free of work that is not of the first priority. */
+  private static final int HEADROOM_PARTS = 16;
+
+  /** Time that a ticket must still be valid, for the record and the start, in milliseconds. */
+  private static final long TICKET_SPARE_MILLIS = 80;
+
+  private final Cell cell;
+  private final Runs runs;
+  private final AdviceBook advice;
+  private final GangPlacement gangs;
+
+  Placement(Cell cell, Runs runs, AdviceBook advice) {
+    this.cell = cell;
+    this.runs = runs;
+    this.advice = advice;
+    this.gangs = new GangPlacement(cell, runs, this);
+  }
+
+  /** Starts what fits, in order. */
+  void pass() {
+    Set<Runner> reserved = new HashSet<>();
+    int reserving = 0;
+    int looked = 0;
+    for (Step s : new ArrayList<>(cell.ready)) {
+      if (looked == MAX_STEPS) {
+        break;
+      }
+      Queue q = cell.queueOf(s);
+      if (q == null) {
+        s.blockedBy = "its queue is not configured";
+        continue;
+      }
+      List<Task> tasks = s.startable(cell.now);
+      if (tasks.isEmpty()) {
+        continue;
+      }
+      looked++;
+      List<Runner> candidates = candidates(s, q, reserved);
+      if (s.spec.gang()) {
+        gangs.place(s, q, tasks, candidates);
+      } else {
+        placeEach(s, q, tasks, candidates);
+      }
+      if (!s.startable(cell.now).isEmpty()) {
+        boolean ceiling = cell.allowedByCeiling(s) < (s.spec.gang() ? s.spec.tasks() : 1);
+        if (!ceiling) {
+          advice.want(s, q);
+        }
+        if (s.spec.gang() && !ceiling && s.gangRun == 0 && reserving < MAX_RESERVING) {
+          reserving++;
+          reserved.addAll(candidates);
+        }
+      }
+    }
+  }
+
+  /** Returns the runners that may run a step now, whether or not there is room. */
+  private List<Runner> candidates(Step s, Queue q, Set<Runner> reserved) {
+    List<Runner> list = new ArrayList<>();
+    for (Runner r : cell.runners.values()) {
+      if (!reserved.contains(r) && isUsable(r, s, q) && (q.advice().isEmpty() || hasTicket(s, r))) {
+        list.add(r);
+      }
+    }
+    return list;
+  }
+
+  boolean hasTicket(Step s, Runner r) {
+    Step.Ticket t = s.tickets.get(r.id());
+    return t != null && t.born() == r.born && cell.now + TICKET_SPARE_MILLIS < t.untilMillis();
+  }
+
+  /** Returns whether a runner may get tasks of a step, tickets and room aside. */
+  boolean isUsable(Runner r, Step s, Queue q) {
+    return r.listed
+        && r.fenced
+        && !r.silent
+        && !r.info.draining()
+        && r.info.service().equals(q.service())
+        && !cell.closedDomains.contains(r.info.failureDomain())
+        && (s.spec.label().isEmpty() || r.info.labels().contains(s.spec.label()))
+        && r.health.accepts(cell.now);
+  }
+
+  /** Returns how many more tasks of a step a runner has room for. */
+  int copies(Runner r, Step s, Queue q) {
+    ResourceVector free = r.free();
+    if (q.priority() > 0) {
+      ResourceVector c = r.info.capacity();
+      free =
+          free.minus(
+              new ResourceVector(
+                  0, 0, c.milliCores() / HEADROOM_PARTS, c.memoryMb() / HEADROOM_PARTS, 0));
+    }
+    ResourceVector size = s.spec.reserved();
+    long n = Integer.MAX_VALUE;
+    n = atMost(n, size.milliCores(), free.milliCores());
+    n = atMost(n, size.memoryMb(), free.memoryMb());
+    n = atMost(n, size.accelerators(), free.accelerators());
+    if (s.spec.filler() && free.milliCores() < s.spec.size().milliCores()) {
+      // Fillers take what is left over; without any they only hold memory.
+      n = 0;
+    }
+    if (s.spec.maxPerRunner() > 0) {
+      n = Math.min(n, s.spec.maxPerRunner() - r.count(s));
+    }
+    if (r.health.isHeld()) {
+      n = Math.min(n, 1);
+    }
+    return (int) Math.max(0, Math.min(n, s.spec.tasks()));
+  }
+
+  private static long atMost(long n, long size, long room) {
+    return size <= 0 ? n : Math.min(n, Math.max(0, room) / size);
+  }
+
+  private void placeEach(Step s, Queue q, List<Task> tasks, List<Runner> candidates) {
+    int allowed = cell.allowedByCeiling(s);
+    int placed = 0;
+    for (Task t : tasks) {
+      if (placed >= allowed) {
+        s.blockedBy = "its account is at its ceiling";
+        break;
+      }
+      Runner r = best(s, q, t, candidates);
+      if (r == null) {
+        s.blockedBy = candidates.isEmpty() ? "no runner may run it now" : "no runner has room";
+        break;
+      }
+      runs.begin(t, r, t.lastRun + 1);
+      placed++;
+    }
+    if (placed > 0) {
+      notePlaced(s, placed, candidates.size());
+    }
+  }
+
+  void notePlaced(Step s, int placed, int candidates) {
+    cell.note(
+        Topic.PLACED,
+        "step",
+        s.key.toString(),
+        "tasks",
+        placed,
+        "candidates",
+        candidates,
+        "waitedMillis",
+        cell.now - s.readyMillis,
+        "policy",
+        cell.policy.version());
+  }
+
+  private Runner best(Step s, Queue q, Task t, List<Runner> candidates) {
+    Runner best = null;
+    double bestCost = 0;
+    for (Runner r : candidates) {
+      if (copies(r, s, q) > 0) {
+        double cost = cost(s, r) + (r.id().equals(t.failedOn) ? 1 : 0);
+        if (best == null || cost < bestCost) {
+          best = r;
+          bestCost = cost;
+        }
+      }
+    }
+    return best;
+  }
+
+  /** Returns how little a runner suits a step: slow, failing, away from the data, or too empty. */
+  double cost(Step s, Runner r) {
+    double cost = r.health.cost();
+    if (!s.spec.nearRack().isEmpty() && !r.info.labels().contains(s.spec.nearRack())) {
+      cost *= cell.limits.remoteFactor();
+    }
+    ResourceVector c = r.info.capacity();
+    double left = c.milliCores() <= 0 ? 0 : (double) r.free().milliCores() / c.milliCores();
+    // Filling up runners keeps whole ones free for gangs; fillers go where most is left.
+    return cost + (s.spec.filler() ? -0.3 : 0.3) * left;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Run.java
@@ -0,0 +1,87 @@
+package dev.dandelionport.core.workflow;
+
+import dev.dandelionport.core.common.ResourceVector;
+
+/** One try to run a task on one life of a runner. It takes room until it certainly has ended. */
+final class Run {
+
+  /** How far a run has come. */
+  enum Phase {
+    /** Its record is being made durable; no start was sent. */
+    INTENDED,
+    /** A start was sent, or a former owner may have sent one; the runner has not confirmed it. */
+    UNCONFIRMED,
+    /** The runner has confirmed that it has the run. */
+    PRESENT
+  }
+
+  /** Why a run was told to stop. */
+  enum Stop {
+    CANCELLED,
+    PREEMPTED,
+    /** Its gang cannot become whole. */
+    GANG,
+    /** It makes no progress. */
+    STUCK,
+    /** Its start was not answered; the stop keeps a late start from being carried out. */
+    UNANSWERED,
+    /** Its runner leaves. */
+    LEAVING,
+    /** Another copy of the task is done. */
+    COPY
+  }
+
+  final Task task;
+  final int number;
+  final Runner runner;
+
+  /** Life of the runner that it was meant for or was seen on. */
+  long born;
+
+  /** Room that it takes of its runner. */
+  final ResourceVector reserved;
+
+  Phase phase = Phase.INTENDED;
+  long intendedMillis;
+
+  /** When the start was sent, on the owner's steady clock; 0 if it was not. */
+  long sentMillis;
+
+  /** When the runner first confirmed the run, on the owner's steady clock; 0 if it has not. */
+  long confirmedMillis;
+
+  /** Whether a former owner may have sent the start. */
+  boolean inherited;
+
+  /** Why it was told to stop; null if it was not. */
+  Stop stop;
+
+  /** When the latest stop was sent. */
+  long stopSentMillis;
+
+  /** When the runner acknowledged a stop; a start that comes later is refused. 0 if it has not. */
+  long stopAckMillis;
+
+  /** Newest checkpoint that the runner reported. */
+  String saved = "";
+
+  long savedMillis;
+
+  /** Processor time in use, as last reported, in thousandths of a core; -1 if not stated. */
+  long recent = -1;
+
+  /** When the run was first reported as using no processor time; 0 if it uses some. */
+  long idleSinceMillis;
+
+  Run(Task task, int number, Runner runner, long born) {
+    this.task = task;
+    this.number = number;
+    this.runner = runner;
+    this.born = born;
+    this.reserved = task.step.spec.reserved();
+  }
+
+  boolean is(TaskKey key, int run) {
+    return number == run && task.key.equals(key);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Runner.java
@@ -0,0 +1,72 @@
+package dev.dandelionport.core.workflow;
+
+import dev.dandelionport.core.common.ResourceVector;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** A runner as the scheduler sees it. */
+final class Runner {
+  RunnerDescription info;
+
+  /** Whether the directory lists it now. */
+  boolean listed = true;
+
+  /** Start of the life that answered last; 0 if none has. */
+  long born;
+
+  /**
+   * Whether the present life has answered this owner, so that orders of former ones are refused.
+   */
+  boolean fenced;
+
+  /** Whether calls to it fail at present. */
+  boolean silent;
+
+  /** Highest number of an end that was taken over from the present life. */
+  long lastEnd;
+
+  final RunnerHealth health = new RunnerHealth();
+
+  /** Runs that may be under way, in the order of their start. */
+  final Set<Run> runs = new LinkedHashSet<>();
+
+  ResourceVector used = ResourceVector.ZERO;
+
+  Runner(RunnerDescription info) {
+    this.info = info;
+  }
+
+  ResourceVector free() {
+    return info.capacity().minus(used);
+  }
+
+  String id() {
+    return info.id();
+  }
+
+  void add(Run r) {
+    if (runs.add(r)) {
+      used = used.plus(r.reserved);
+    }
+  }
+
+  void remove(Run r) {
+    if (runs.remove(r)) {
+      used = used.minus(r.reserved);
+    }
+  }
+
+  /** Returns how many tasks of a step run here. */
+  int count(Step s) {
+    int n = 0;
+    for (Run r : runs) {
+      n += r.task.step == s ? 1 : 0;
+    }
+    return n;
+  }
+
+  /** Returns the label that names its rack, the last one. */
+  String rack() {
+    return info.labels().isEmpty() ? "" : info.labels().get(info.labels().size() - 1);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Step.java
@@ -0,0 +1,107 @@
+package dev.dandelionport.core.workflow;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** One step of one occurrence of a workflow. */
+final class Step {
+
+  /** The right to run the step on one life of a runner. */
+  record Ticket(String value, long born, long untilMillis) {}
+
+  final Workflow workflow;
+  final StepKey key;
+  final StepSpec spec;
+  final List<Task> tasks = new ArrayList<>();
+
+  /** Tasks that are not done. */
+  int left;
+
+  /** When the step's turn came, on the owner's steady clock; -1 if it has not. */
+  long readyMillis = -1;
+
+  /** Tickets by runner. */
+  final Map<String, Ticket> tickets = new HashMap<>();
+
+  /** Runners that may run the step; the answer never changes. */
+  final Set<String> allowed = new HashSet<>();
+
+  /** Runners that may not run the step. */
+  final Set<String> denied = new HashSet<>();
+
+  /** Calls for advice that are under way. */
+  int asking;
+
+  /** When advice may be asked for again, on the owner's steady clock. */
+  long askAgainMillis;
+
+  /** Priority of the queue; 0 goes first. */
+  int priority;
+
+  /** When the workflow should be done, on the owner's steady clock. */
+  long dueMillis;
+
+  /** Failed runs of the gang. */
+  int gangFailures;
+
+  /** Number of the gang's run that is under way; 0 if none is. */
+  int gangRun;
+
+  /** Whether the gang's run can no longer become whole. */
+  boolean gangBroken;
+
+  /** When the first member of the gang's run was started. */
+  long gangSinceMillis;
+
+  /** Why no task of the step could be placed last time, for explanations. */
+  String blockedBy = "";
+
+  Step(Workflow workflow, int occurrence, int number) {
+    this.workflow = workflow;
+    this.key = new StepKey(workflow.spec.id(), occurrence, number);
+    this.spec = workflow.spec.steps().get(number);
+    for (int i = 0; i < spec.tasks(); i++) {
+      tasks.add(new Task(this, i));
+    }
+    left = spec.tasks();
+  }
+
+  boolean isDone() {
+    return left == 0;
+  }
+
+  boolean isReady() {
+    return readyMillis >= 0 && left > 0;
+  }
+
+  void finish(Task t) {
+    if (!t.done) {
+      t.done = true;
+      left--;
+    }
+  }
+
+  /** Returns the tasks that wait and may be tried now. */
+  List<Task> startable(long now) {
+    List<Task> list = new ArrayList<>();
+    for (Task t : tasks) {
+      if (t.waits() && t.retryMillis <= now) {
+        list.add(t);
+      }
+    }
+    return list;
+  }
+
+  boolean hasRuns() {
+    for (Task t : tasks) {
+      if (t.run != null) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/workflow/StepSpec.java
@@ -0,0 +1,53 @@
+package dev.dandelionport.core.workflow;
+
+import dev.dandelionport.core.common.ResourceVector;
+import java.util.List;
+
+/**
+ * One step of a workflow: equal tasks that start when the steps they depend on are done.
+ *
+ * @param tasks number of tasks
+ * @param size resources of one task
+ * @param estimateMillis rough run time of a task as its submitter states it
+ * @param after numbers of the steps that must be done first
+ * @param checkpoints whether a task saves its progress
+ * @param gang whether the tasks only work while all of them are present
+ * @param sameRack whether the tasks are slower on more than one rack
+ * @param label label that a runner must have, empty for none
+ * @param nearRack rack that holds the data, empty for none
+ * @param maxPerRunner most tasks on one runner, 0 for no bound
+ * @param speculative whether a task may run in several copies
+ * @param lasting whether the tasks run until the workflow is cancelled
+ * @param filler whether the tasks only use processor time that others leave
+ * @param image what the tasks run, empty if not stated
+ * @param latencyGoalMillis response time that lasting tasks must stay below, 0 for none
+ * @param mayMiss tasks that may be away at a time because of the scheduler
+ */
+public record StepSpec(
+    int tasks,
+    ResourceVector size,
+    long estimateMillis,
+    List<Integer> after,
+    boolean checkpoints,
+    boolean gang,
+    boolean sameRack,
+    String label,
+    String nearRack,
+    int maxPerRunner,
+    boolean speculative,
+    boolean lasting,
+    boolean filler,
+    String image,
+    long latencyGoalMillis,
+    int mayMiss) {
+
+  /** Copies the list. */
+  public StepSpec {
+    after = List.copyOf(after);
+  }
+
+  /** Returns what a task takes of its runner's room. */
+  ResourceVector reserved() {
+    return filler ? new ResourceVector(0, 0, 0, size.memoryMb(), size.accelerators()) : size;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Workflow.java
@@ -0,0 +1,66 @@
+package dev.dandelionport.core.workflow;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A workflow and all steps of the occurrences that have come due. */
+final class Workflow {
+  final WorkflowSpec spec;
+
+  /** When it was accepted, wall-clock time in milliseconds since 1970. */
+  final long acceptedWallMillis;
+
+  /** When it was accepted, on the owner's steady clock. */
+  final long acceptedMillis;
+
+  final List<Step> steps = new ArrayList<>();
+
+  /** Occurrences whose steps exist. */
+  int opened;
+
+  WorkflowState state = WorkflowState.QUEUED;
+
+  /** State whose record is durable; the one that callers may see. */
+  WorkflowState shown = WorkflowState.QUEUED;
+
+  /** When it ended, wall-clock time in milliseconds since 1970. */
+  long closedWallMillis;
+
+  Workflow(WorkflowSpec spec, long acceptedWallMillis, long acceptedMillis) {
+    this.spec = spec;
+    this.acceptedWallMillis = acceptedWallMillis;
+    this.acceptedMillis = acceptedMillis;
+  }
+
+  /** Adds the steps of the next occurrence. */
+  void open() {
+    for (int i = 0; i < spec.steps().size(); i++) {
+      steps.add(new Step(this, opened, i));
+    }
+    opened++;
+  }
+
+  Step step(int occurrence, int number) {
+    int i = occurrence * spec.steps().size() + number;
+    boolean valid = occurrence >= 0 && number >= 0 && number < spec.steps().size();
+    return valid && i < steps.size() ? steps.get(i) : null;
+  }
+
+  /** Returns whether all steps that a step depends on are done. */
+  boolean mayRun(Step s) {
+    for (int before : s.spec.after()) {
+      if (!step(s.key.occurrence(), before).isDone()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  boolean allDone() {
+    return opened >= spec.recurrence().occurrences() && steps.stream().allMatch(Step::isDone);
+  }
+
+  boolean hasRuns() {
+    return steps.stream().anyMatch(Step::hasRuns);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
@@ -0,0 +1,50 @@
+package dev.dandelionport.core.workflow;
+
+import java.util.List;
+
+/** Something that {@link WorkflowScheduler} wants done. */
+public sealed interface WorkflowEffect {
+
+  /**
+   * Starts a run. Its record must be durable first; whoever sends it asks {@link
+   * WorkflowScheduler#mayStillStart} just before.
+   */
+  record Start(TaskKey task, int run, String runner) implements WorkflowEffect {}
+
+  /** Stops a run, at once. */
+  record Stop(TaskKey task, int run, String runner) implements WorkflowEffect {}
+
+  /** Asks which of some runners may run a step. */
+  record Ask(StepKey step, List<String> runners, boolean urgent, double costMillis)
+      implements WorkflowEffect {
+    /** Copies the list. */
+    public Ask {
+      runners = List.copyOf(runners);
+    }
+  }
+
+  /** Shows a state to callers once the records made so far are durable. */
+  record Show(String workflow, WorkflowState state) implements WorkflowEffect {}
+
+  /** A decision that is worth a line of the log; the fields alternate between name and value. */
+  record Note(Topic topic, List<Object> fields) implements WorkflowEffect {
+    /** Copies the list. */
+    public Note {
+      fields = List.copyOf(fields);
+    }
+  }
+
+  /** What a {@link Note} is about. */
+  enum Topic {
+    ACCEPTED,
+    PLACED,
+    ENDED,
+    STOPPED,
+    CLOSED,
+    RUNNER_HELD,
+    RUNNER_REBORN,
+    RUNNER_LISTED,
+    RUNNER_GONE,
+    ADVICE
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowReplay.java
@@ -0,0 +1,177 @@
+package dev.dandelionport.core.workflow;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.workflow.Run.Phase;
+import dev.dandelionport.core.workflow.WorkflowRecord.Accepted;
+import dev.dandelionport.core.workflow.WorkflowRecord.Closed;
+import dev.dandelionport.core.workflow.WorkflowRecord.Ended;
+import dev.dandelionport.core.workflow.WorkflowRecord.Forgotten;
+import dev.dandelionport.core.workflow.WorkflowRecord.Intended;
+import dev.dandelionport.core.workflow.WorkflowRecord.PolicySeen;
+import dev.dandelionport.core.workflow.WorkflowRecord.TaskProgress;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Rebuilds workflows from records, and writes the records that rebuild them. */
+final class WorkflowReplay {
+
+  private final Cell cell;
+  private final Runs runs;
+
+  WorkflowReplay(Cell cell, Runs runs) {
+    this.cell = cell;
+    this.runs = runs;
+  }
+
+  void apply(WorkflowRecord r) {
+    if (r instanceof Accepted a) {
+      long age = Math.max(0, cell.wallMillis - a.atMillis());
+      cell.workflows.putIfAbsent(
+          a.spec().id(), new Workflow(a.spec(), a.atMillis(), cell.now - age));
+    } else if (r instanceof Intended i) {
+      intended(i);
+    } else if (r instanceof Ended e) {
+      ended(e);
+    } else if (r instanceof Closed c) {
+      Workflow w = cell.workflows.get(c.workflow());
+      if (w != null) {
+        w.state = c.state();
+        w.shown = c.state();
+        w.closedWallMillis = c.atMillis();
+      }
+    } else if (r instanceof Forgotten f) {
+      f.workflows().forEach(cell.workflows::remove);
+    } else if (r instanceof PolicySeen p) {
+      cell.policySeen = Math.max(cell.policySeen, p.version());
+    } else if (r instanceof TaskProgress p) {
+      progress(p);
+    }
+  }
+
+  private Task task(TaskKey k) {
+    Workflow w = cell.workflows.get(k.workflow());
+    while (w != null
+        && w.opened <= k.occurrence()
+        && w.opened < w.spec.recurrence().occurrences()) {
+      w.open();
+    }
+    return cell.task(k);
+  }
+
+  private void intended(Intended i) {
+    Task t = task(i.task());
+    if (t == null) {
+      return;
+    }
+    Runner runner = cell.runners.computeIfAbsent(i.runner(), k -> unlisted(k, i.born()));
+    Run r = new Run(t, i.run(), runner, i.born());
+    r.phase = Phase.UNCONFIRMED;
+    r.inherited = true;
+    r.intendedMillis = cell.now;
+    t.run = r;
+    t.lastRun = Math.max(t.lastRun, i.run());
+    if (t.step.spec.gang()) {
+      t.step.gangRun = i.run();
+      t.step.gangSinceMillis = cell.now;
+    }
+    t.step.workflow.state = WorkflowState.RUNNING;
+    cell.occupy(r);
+  }
+
+  private static Runner unlisted(String id, long born) {
+    RunnerDescription d =
+        new RunnerDescription(id, born, "", "", "", ResourceVector.ZERO, List.of(), false);
+    Runner r = new Runner(d);
+    r.listed = false;
+    return r;
+  }
+
+  private void ended(Ended e) {
+    Task t = task(e.task());
+    if (t == null) {
+      return;
+    }
+    for (Runner x : cell.runners.values()) {
+      for (Run r : List.copyOf(x.runs)) {
+        if (r.is(e.task(), e.run())) {
+          cell.release(r);
+          t.run = t.run == r ? null : t.run;
+        }
+      }
+    }
+    runs.apply(t, e.run(), e.how(), e.saved());
+    if (t.step.spec.gang()) {
+      runs.gangChanged(t.step);
+    }
+  }
+
+  private void progress(TaskProgress p) {
+    Task t = task(p.task());
+    if (t == null) {
+      return;
+    }
+    t.lastRun = p.lastRun();
+    t.failures = p.failures();
+    t.saved = p.saved();
+    if (t.step.spec.gang()) {
+      t.step.gangFailures = Math.max(t.step.gangFailures, p.failures());
+    }
+    if (p.done()) {
+      t.step.finish(t);
+    }
+    if (p.lastRun() > 0) {
+      t.step.workflow.state = WorkflowState.RUNNING;
+    }
+  }
+
+  /** Queues what is left to do. */
+  void finish() {
+    for (Workflow w : cell.workflows.values()) {
+      if (w.state.isFinal()) {
+        continue;
+      }
+      w.shown = w.state;
+      runs.openDue(w);
+      runs.openSteps(w);
+      if (w.allDone()) {
+        // The owner ended between the last end and the record that closes the workflow.
+        runs.close(w, WorkflowState.COMPLETED);
+      }
+    }
+  }
+
+  /** Returns the facts that rebuild the present state. */
+  List<WorkflowRecord> snapshot() {
+    List<WorkflowRecord> all = new ArrayList<>();
+    all.add(new PolicySeen(cell.policySeen));
+    for (Workflow w : cell.workflows.values()) {
+      boolean over = w.state.isFinal() && !w.hasRuns();
+      all.add(new Accepted(over ? bare(w.spec) : w.spec, w.acceptedWallMillis));
+      for (Step s : over ? List.<Step>of() : w.steps) {
+        for (Task t : s.tasks) {
+          snapshot(t, all);
+        }
+      }
+      if (w.state.isFinal()) {
+        all.add(new Closed(w.spec.id(), w.state, w.closedWallMillis));
+      }
+    }
+    return all;
+  }
+
+  /** Returns what is needed to tell the state of a workflow that is over. */
+  private static WorkflowSpec bare(WorkflowSpec s) {
+    return new WorkflowSpec(
+        s.id(), s.queue(), s.account(), "", List.of(), Recurrence.ONCE, s.excess());
+  }
+
+  private static void snapshot(Task t, List<WorkflowRecord> all) {
+    int failures = t.step.spec.gang() ? t.step.gangFailures : t.failures;
+    if (t.lastRun > 0 || t.done) {
+      all.add(new TaskProgress(t.key, t.lastRun, failures, t.done, t.saved));
+    }
+    if (t.run != null) {
+      all.add(new WorkflowRecord.Intended(t.key, t.run.number, t.run.runner.id(), t.run.born));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -0,0 +1,397 @@
+package dev.dandelionport.core.workflow;
+
+import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
+import dev.dandelionport.core.workflow.Run.Phase;
+import dev.dandelionport.core.workflow.Run.Stop;
+import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
+import dev.dandelionport.core.workflow.WorkflowRecord.Accepted;
+import dev.dandelionport.core.workflow.WorkflowRecord.Forgotten;
+import dev.dandelionport.core.workflow.WorkflowRecord.PolicySeen;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Schedules all workflows of a cell. It is deterministic and does no I/O: whoever drives it tells
+ * it what happened and the time, then takes the decision and carries it out. Not thread-safe.
+ */
+public final class WorkflowScheduler {
+
+  /** Longest time for which a weight may be saved up, in seconds. */
+  private static final double BURST_SECONDS = 4;
+
+  private final Cell cell;
+  private final Runs runs;
+  private final AdviceBook advice;
+  private final Placement placement;
+  private final GangPlacement gangs;
+  private final RunnerReports reports;
+  private final Watchdog watchdog;
+  private final WorkflowReplay replay;
+  private final Map<String, RateBucket> rates = new HashMap<>();
+
+  /** Creates a scheduler without workflows and runners. */
+  public WorkflowScheduler(WorkflowLimits limits) {
+    cell = new Cell(limits);
+    runs = new Runs(cell);
+    advice = new AdviceBook(cell);
+    placement = new Placement(cell, runs, advice);
+    advice.use(placement);
+    gangs = new GangPlacement(cell, runs, placement);
+    reports = new RunnerReports(cell, runs);
+    watchdog = new Watchdog(cell, runs, gangs, advice);
+    replay = new WorkflowReplay(cell, runs);
+  }
+
+  /** Sets the time of what is told next: the owner's steady clock and wall-clock time. */
+  public void at(long nowMillis, long wallMillis) {
+    cell.now = Math.max(cell.now, nowMillis);
+    cell.wallMillis = wallMillis;
+  }
+
+  /** Returns the records and effects since the last call. */
+  public WorkflowDecision takeDecision() {
+    return cell.takeDecision();
+  }
+
+  /** Applies a fact of the journal; all of them come before anything else is told. */
+  public void replay(WorkflowRecord r) {
+    replay.apply(r);
+  }
+
+  /** Ends the replay; runs that former owners may have started are kept until runners tell. */
+  public void replayed() {
+    replay.finish();
+    for (Workflow w : cell.workflows.values()) {
+      if (w.spec.recurrence().count() > 0 && !w.state.isFinal()) {
+        watchdog.recurs(w);
+      }
+    }
+  }
+
+  /** Returns the facts that rebuild the present state. */
+  public List<WorkflowRecord> snapshot() {
+    return replay.snapshot();
+  }
+
+  /** Returns the newest version of the configuration that an owner has acted on, -1 for none. */
+  public long policySeen() {
+    return cell.policySeen;
+  }
+
+  /** Accepts a workflow unless its id is known; returns whether it is new. */
+  public boolean submit(WorkflowSpec spec) {
+    if (cell.workflows.containsKey(spec.id())) {
+      return false;
+    }
+    ClusterPolicy.Account a = cell.policy.accounts().get(spec.account());
+    boolean excess =
+        a != null
+            && !rates
+                .computeIfAbsent(spec.account(), k -> new RateBucket(BURST_SECONDS))
+                .take(a.weight(), cell.now);
+    Workflow w = new Workflow(spec.withExcess(excess), cell.wallMillis, cell.now);
+    cell.workflows.put(spec.id(), w);
+    cell.record(new Accepted(w.spec, cell.wallMillis));
+    cell.effect(new WorkflowEffect.Show(spec.id(), WorkflowState.QUEUED));
+    cell.note(
+        Topic.ACCEPTED,
+        "workflow",
+        spec.id(),
+        "queue",
+        spec.queue(),
+        "account",
+        spec.account(),
+        "steps",
+        spec.steps().size(),
+        "excess",
+        excess,
+        "policy",
+        cell.policy.version());
+    runs.openDue(w);
+    if (spec.recurrence().count() > 0) {
+      watchdog.recurs(w);
+    }
+    return true;
+  }
+
+  /** Cancels a workflow; returns whether it is known. */
+  public boolean cancel(String id) {
+    Workflow w = cell.workflows.get(id);
+    if (w == null) {
+      return false;
+    }
+    if (!w.state.isFinal()) {
+      runs.close(w, WorkflowState.CANCELLED);
+    }
+    return true;
+  }
+
+  /** Returns the state of a workflow that callers may see. */
+  public Optional<WorkflowState> state(String id) {
+    Workflow w = cell.workflows.get(id);
+    if (w == null) {
+      return Optional.empty();
+    }
+    return Optional.of(w.shown.isFinal() || w.state.isFinal() ? w.shown : w.state);
+  }
+
+  /** Returns the queue that a workflow was submitted to, if it is known. */
+  public Optional<String> queueOf(String id) {
+    return Optional.ofNullable(cell.workflows.get(id)).map(w -> w.spec.queue());
+  }
+
+  /** Returns the account that submitted a workflow, if it is known. */
+  public Optional<String> accountOf(String id) {
+    return Optional.ofNullable(cell.workflows.get(id)).map(w -> w.spec.account());
+  }
+
+  /** Notes that a state's record is durable. */
+  public void shown(String id, WorkflowState state) {
+    Workflow w = cell.workflows.get(id);
+    if (w != null) {
+      w.shown = state;
+    }
+  }
+
+  /** Returns the number of a queue's workflows of which no task has started. */
+  public int pending(String queue) {
+    int n = 0;
+    for (Workflow w : cell.workflows.values()) {
+      n += w.state == WorkflowState.QUEUED && w.spec.queue().equals(queue) ? 1 : 0;
+    }
+    return n;
+  }
+
+  /** Puts a configuration in force unless a newer one was seen; returns whether it is in force. */
+  public boolean setPolicy(ClusterPolicy policy) {
+    if (policy.version() < cell.policySeen) {
+      return false;
+    }
+    if (policy.version() > cell.policySeen) {
+      cell.policySeen = policy.version();
+      cell.record(new PolicySeen(policy.version()));
+    }
+    cell.policy = policy;
+    List<Step> steps = new ArrayList<>(cell.ready);
+    cell.ready.clear();
+    steps.forEach(cell::enqueue);
+    return true;
+  }
+
+  /** Sets the failure domains in which nothing may start. */
+  public void setClosedDomains(Set<String> domains) {
+    cell.closedDomains = Set.copyOf(domains);
+  }
+
+  /** Takes over the list of runners. */
+  public void setRunners(List<RunnerDescription> list) {
+    Set<String> ids = new HashSet<>();
+    for (RunnerDescription d : list) {
+      ids.add(d.id());
+      Runner r = cell.runners.get(d.id());
+      if (r == null) {
+        r = new Runner(d);
+        cell.runners.put(d.id(), r);
+        cell.note(Topic.RUNNER_LISTED, "runner", d.id(), "domain", d.failureDomain());
+      }
+      if (d.draining() && !r.info.draining()) {
+        cell.note(Topic.RUNNER_GONE, "runner", d.id(), "why", "draining");
+      }
+      r.info = d;
+      r.listed = true;
+    }
+    for (Runner r : List.copyOf(cell.runners.values())) {
+      if (!ids.contains(r.id())) {
+        if (r.listed) {
+          cell.note(Topic.RUNNER_GONE, "runner", r.id(), "why", "not listed");
+        }
+        r.listed = false;
+        if (r.runs.isEmpty()) {
+          cell.runners.remove(r.id());
+        }
+      }
+    }
+  }
+
+  /** Takes over what a runner says; {@code sentMillis} is when the call was sent. */
+  public void report(String runner, RunnerReport report, long sentMillis) {
+    Runner r = cell.runners.get(runner);
+    if (r != null) {
+      reports.report(r, report, sentMillis);
+    }
+  }
+
+  /** Notes that calls to a runner fail; it gets no work until it reports again. */
+  public void silent(String runner) {
+    Runner r = cell.runners.get(runner);
+    if (r != null) {
+      r.silent = true;
+    }
+  }
+
+  /** Ends all runs on a runner that was silent until all leases had certainly run out. */
+  public void lapsed(String runner) {
+    Runner r = cell.runners.get(runner);
+    if (r != null) {
+      r.fenced = false;
+      reports.lapsed(r);
+    }
+  }
+
+  /** Returns whether runs may be under way on a runner. */
+  public boolean hasRuns(String runner) {
+    Runner r = cell.runners.get(runner);
+    return r != null && !r.runs.isEmpty();
+  }
+
+  /** Returns the runners on which runs may be under way. */
+  public List<String> runnersWithRuns() {
+    return cell.runners.values().stream().filter(r -> !r.runs.isEmpty()).map(Runner::id).toList();
+  }
+
+  /**
+   * Returns the order for an intended run whose record is durable, if it may still be sent; it is
+   * given up otherwise.
+   */
+  public Optional<StartOrder> mayStillStart(TaskKey task, int run, String runner) {
+    Run r = run(task, run, runner);
+    if (r == null || r.phase != Phase.INTENDED) {
+      return Optional.empty();
+    }
+    Step s = r.task.step;
+    Queue q = cell.queueOf(s);
+    boolean usable =
+        q != null
+            && !s.workflow.state.isFinal()
+            && r.born == r.runner.born
+            && r.runner.listed
+            && r.runner.fenced
+            && !r.runner.silent
+            && !r.runner.info.draining()
+            && r.runner.info.service().equals(q.service())
+            && !cell.closedDomains.contains(r.runner.info.failureDomain());
+    Step.Ticket ticket = s.tickets.get(r.runner.id());
+    boolean ticketed =
+        q != null
+            && (q.advice().isEmpty()
+                || ticket != null && ticket.born() == r.born && cell.now < ticket.untilMillis());
+    if (!usable || !ticketed) {
+      runs.end(r, RunEnd.NEVER_STARTED, "");
+      return Optional.empty();
+    }
+    r.phase = Phase.UNCONFIRMED;
+    r.sentMillis = cell.now;
+    return Optional.of(
+        new StartOrder(
+            task,
+            run,
+            s.workflow.spec.payload(),
+            r.task.saved,
+            ticket == null ? "" : ticket.value()));
+  }
+
+  /** Takes over the answer to a start. */
+  public void startAnswered(TaskKey task, int run, String runner, StartResult result) {
+    Run r = run(task, run, runner);
+    if (r == null) {
+      return;
+    }
+    if (result == StartResult.PRESENT) {
+      reports.confirm(r);
+      if (r.stop != null) {
+        runs.stopAgain(r);
+      }
+      return;
+    }
+    if (r.phase == Phase.PRESENT) {
+      return;
+    }
+    if (result == StartResult.UNKNOWN) {
+      r.task.failedOn = runner;
+      runs.stop(r, Stop.UNANSWERED);
+      return;
+    }
+    cell.note(
+        Topic.ENDED, "task", task.toString(), "run", run, "runner", runner, "how", result.name());
+    if (result == StartResult.NO_TICKET) {
+      advice.refused(r.task.step, r.runner);
+    } else if (result == StartResult.UNHEALTHY) {
+      r.runner.health.failed(cell.now);
+    }
+    r.task.failedOn = runner;
+    runs.end(r, RunEnd.NEVER_STARTED, "");
+  }
+
+  /** Notes that a runner acknowledged a stop. */
+  public void stopAnswered(TaskKey task, int run, String runner) {
+    Run r = run(task, run, runner);
+    if (r != null) {
+      r.stopAckMillis = Math.max(1, cell.now);
+    }
+  }
+
+  /** Returns whether a report is needed to learn what became of a stopped start. */
+  public boolean awaitsReport(String runner) {
+    Runner r = cell.runners.get(runner);
+    return r != null
+        && r.runs.stream().anyMatch(x -> x.phase == Phase.UNCONFIRMED && x.stopAckMillis > 0);
+  }
+
+  /** Takes over advice on a step; {@code tickets} is null if the call failed. */
+  public void advised(
+      StepKey step, List<String> named, Map<String, String> tickets, long validMillis) {
+    Step s = cell.step(step);
+    if (s != null) {
+      advice.answered(s, named, tickets, validMillis);
+    }
+  }
+
+  /** Looks for what time alone brings about. */
+  public void tick() {
+    watchdog.tick();
+  }
+
+  /** Starts what fits. */
+  public void place() {
+    placement.pass();
+  }
+
+  /** Forgets workflows that ended long ago. */
+  public void forget() {
+    List<String> gone = new ArrayList<>();
+    for (Workflow w : cell.workflows.values()) {
+      if (w.state.isFinal()
+          && cell.wallMillis - w.closedWallMillis > cell.limits.keepClosedMillis()
+          && !w.hasRuns()) {
+        gone.add(w.spec.id());
+      }
+    }
+    if (!gone.isEmpty()) {
+      gone.forEach(cell.workflows::remove);
+      cell.record(new Forgotten(gone));
+    }
+  }
+
+  private Run run(TaskKey task, int run, String runner) {
+    Runner r = cell.runners.get(runner);
+    if (r == null) {
+      return null;
+    }
+    for (Run x : r.runs) {
+      if (x.is(task, run)) {
+        return x;
+      }
+    }
+    return null;
+  }
+
+  /** Returns figures for metrics and explanations. */
+  public WorkflowFigures figures() {
+    return WorkflowFigures.of(cell);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowSpec.java
@@ -0,0 +1,48 @@
+package dev.dandelionport.core.workflow;
+
+import java.util.List;
+
+/**
+ * A workflow as it was submitted.
+ *
+ * @param id name that its caller chose
+ * @param queue name of its queue
+ * @param account client account that submitted it, empty for an open queue
+ * @param payload what its tasks are told to do
+ * @param steps steps, numbered from 0
+ * @param recurrence when the steps are repeated
+ * @param excess whether the account submitted more than its weight when this came
+ */
+public record WorkflowSpec(
+    String id,
+    String queue,
+    String account,
+    String payload,
+    List<StepSpec> steps,
+    Recurrence recurrence,
+    boolean excess) {
+
+  /** Copies the list. */
+  public WorkflowSpec {
+    steps = List.copyOf(steps);
+  }
+
+  /** Returns the same workflow marked as submitted within or beyond its account's weight. */
+  public WorkflowSpec withExcess(boolean beyond) {
+    return new WorkflowSpec(id, queue, account, payload, steps, recurrence, beyond);
+  }
+
+  /** Returns the longest chain of stated run times, in milliseconds. */
+  public long chainMillis() {
+    long[] ends = new long[steps.size()];
+    long longest = 0;
+    for (int i = 0; i < ends.length; i++) {
+      for (int before : steps.get(i).after()) {
+        ends[i] = Math.max(ends[i], ends[before]);
+      }
+      ends[i] += steps.get(i).estimateMillis();
+      longest = Math.max(longest, ends[i]);
+    }
+    return longest;
+  }
+}
--- a/node/src/main/java/dev/dandelionport/node/connection/HttpPool.java
+++ b/node/src/main/java/dev/dandelionport/node/connection/HttpPool.java
@@ -25,7 +25,7 @@
  * connection that has gone silent. Where {@code replacesAll} is set, a timeout also replaces all
  * other pooled connections, since connections that went silent usually did so together.
  */
-final class HttpPool implements AutoCloseable {
+public final class HttpPool implements AutoCloseable {
 
   private static final long CONNECT_MILLIS = 500;
 
@@ -74,7 +74,7 @@
    * @param replacesAll whether a timeout replaces all connections
    * @param tls files for TLS; null for the authorities that the virtual machine trusts
    */
-  HttpPool(String url, long maxAnswerBytes, boolean replacesAll, TlsFiles tls) {
+  public HttpPool(String url, long maxAnswerBytes, boolean replacesAll, TlsFiles tls) {
     this.url = url;
     this.maxAnswerBytes = maxAnswerBytes;
     this.replacesAll = replacesAll;
@@ -130,13 +130,13 @@
   }
 
   /** Returns the client to use for the next request. */
-  WebClient client() {
+  public WebClient client() {
     reloadTls();
     return current.client();
   }
 
   /** Notes how a request with {@code used} failed; replaces the connections if it timed out. */
-  void failed(WebClient used, Throwable e) {
+  public void failed(WebClient used, Throwable e) {
     if (replacesAll && isTimeout(e) && used == current.client()) {
       replace(used);
     }
@@ -194,7 +194,7 @@
   }
 
   /** Returns the duration of a timeout in milliseconds. */
-  static Duration millis(long timeoutMillis) {
+  public static Duration millis(long timeoutMillis) {
     return Duration.ofMillis(timeoutMillis);
   }
 }
--- a/node/src/main/java/dev/dandelionport/node/connection/PeerConnection.java
+++ b/node/src/main/java/dev/dandelionport/node/connection/PeerConnection.java
@@ -123,6 +123,10 @@
         scheduleCheck(ctx);
         ready.complete(this);
       } else {
+        if (f.kind() == Frame.Kind.HELLO && self.fits(f.hello())) {
+          ready.completeExceptionally(
+              PeerException.ended("another instance than " + peer + " answers there", null));
+        }
         ctx.close();
       }
       return;
--- a/node/src/main/java/dev/dandelionport/node/connection/TcpPeerClient.java
+++ b/node/src/main/java/dev/dandelionport/node/connection/TcpPeerClient.java
@@ -9,11 +9,13 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.ssl.SslHandler;
+import java.net.ConnectException;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.ObjLongConsumer;
 
@@ -80,9 +82,7 @@
         .addListener(
             f -> {
               if (!f.isSuccess()) {
-                c.ready()
-                    .completeExceptionally(
-                        new PeerException("cannot connect to " + peer.id(), false, f.cause()));
+                c.ready().completeExceptionally(notConnected(peer, f.cause()));
                 connections.removeClosed(peer.id());
               }
             })
@@ -92,6 +92,14 @@
     return c.ready();
   }
 
+  private static PeerException notConnected(InstanceInfo peer, Throwable cause) {
+    String text = "cannot connect to " + peer.id();
+    // A refused connection shows that nothing listens there any more; a timeout shows nothing.
+    boolean ended =
+        cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    return ended ? PeerException.ended(text, cause) : new PeerException(text, false, cause);
+  }
+
   /** Returns the number of connections that are open or being opened. */
   public int connections() {
     return connections.size();
--- /dev/null
+++ b/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
@@ -0,0 +1,37 @@
+package dev.dandelionport.node.process;
+
+import dev.dandelionport.core.dispatch.DispatchTopic;
+import java.util.Map;
+
+/** Writes what an instance reports about workflows as numbered events. */
+public final class DispatchLog {
+
+  private DispatchLog() {}
+
+  /** Writes one event. */
+  public static void write(DispatchTopic topic, Map<String, Object> fields) {
+    EventLog.log(event(topic), fields);
+  }
+
+  static LogEvent event(DispatchTopic topic) {
+    return switch (topic) {
+      case OWNER_CLAIMED -> LogEvent.WORKFLOWS_REBUILT;
+      case OWNER_OPEN -> LogEvent.WORKFLOWS_SERVED;
+      case OWNER_LOST -> LogEvent.WORKFLOWS_LOST;
+      case OWNER_SEEN -> LogEvent.WORKFLOW_OWNER;
+      case POLICY_IN_FORCE -> LogEvent.POLICY_IN_FORCE;
+      case POLICY_STALE -> LogEvent.POLICY_STALE;
+      case DOMAINS_CLOSED -> LogEvent.DOMAINS_CLOSED;
+      case STORE_LOST -> LogEvent.STORE_CALL_FAILED;
+      case STORE_BACK -> LogEvent.STORE_OUTAGE_ENDED;
+      case RUNNER_SILENT -> LogEvent.RUNNER_SILENT;
+      case RUNNER_BACK -> LogEvent.RUNNER_BACK;
+      case RUNNER_LAPSED -> LogEvent.RUNNER_LAPSED;
+      case BATCH_SLOW -> LogEvent.BATCH_SLOW;
+      case SNAPSHOT -> LogEvent.SNAPSHOT_WRITTEN;
+      case REQUEST_REFUSED -> LogEvent.WORKFLOW_REFUSED;
+      case ENTRY_IGNORED -> LogEvent.ENTRY_IGNORED;
+      case DECISION -> LogEvent.WORKFLOW_DECISION;
+    };
+  }
+}
