--- a/core/src/main/java/dev/dandelionport/core/dispatch/AdviceLanes.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/AdviceLanes.java
@@ -6,17 +6,18 @@
 import dev.dandelionport.core.message.PeerMessage.AdviceCall;
 import dev.dandelionport.core.port.AdviceClient.Advice;
 import dev.dandelionport.core.port.InstanceInfo;
-import dev.dandelionport.core.workflow.WorkflowEffect.Ask;
-import java.util.ArrayList;
-import java.util.List;
+import dev.dandelionport.core.workflow.AdviceRequest;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.DoubleFunction;
 
 /**
  * Spreads calls for advice over all instances, because the service takes one call at a time from
- * each. Long calls stay off part of the instances, so that urgent ones find one without a queue.
- * Guarded by the owner's shard.
+ * each. A call is chosen only when an instance is free, so that the most urgent one goes next. Long
+ * calls stay off part of the instances, so that urgent ones find one without a queue. Guarded by
+ * the owner's shard.
  */
 final class AdviceLanes {
 
@@ -27,7 +28,7 @@
   private static final int SHORT_PART = 3;
 
   /** Time beyond the expected one after which a call has failed, in milliseconds. */
-  private static final long SLACK_MILLIS = 600;
+  private static final long SLACK_MILLIS = 400;
 
   /** Time after which an instance that says nothing gets no calls, in milliseconds. */
   private static final long MEMBER_MILLIS = 1_500;
@@ -37,16 +38,14 @@
 
   /** Receives an answer; the tickets are null if the call failed. */
   interface Receiver {
-    void advised(Ask ask, Map<String, String> tickets, long validMillis);
+    void advised(AdviceRequest ask, Map<String, String> tickets, long validMillis);
   }
 
   private static final class Lane {
     final InstanceInfo member;
     long heardMillis;
     long failedMillis = Long.MIN_VALUE / 2;
-
-    /** When the calls handed to it so far are expected to be answered. */
-    double freeMillis;
+    boolean busy;
 
     Lane(InstanceInfo member) {
       this.member = member;
@@ -71,47 +70,42 @@
         context.nowMillis();
   }
 
-  /** Makes a call through the instance that is expected to answer first. */
-  void ask(Ask ask) {
+  /** Hands a call to each instance without one; {@code next} gives the most urgent one. */
+  void fill(DoubleFunction<Optional<AdviceRequest>> next) {
     long now = context.nowMillis();
-    Lane lane = choose(ask.costMillis(), now);
-    double wait = Math.max(0, lane.freeMillis - now);
-    lane.freeMillis = now + wait + ask.costMillis();
-    long timeout = (long) (wait + ask.costMillis()) + SLACK_MILLIS;
-    boolean local = lane.member.equals(context.self());
-    shard.afterwards(
-        () ->
-            (local ? askHere(ask, timeout) : askThere(lane.member, ask, timeout))
-                .whenComplete((a, e) -> shard.run(() -> answered(lane, ask, a, e))));
-  }
-
-  private Lane choose(double cost, long now) {
     lanes
         .values()
         .removeIf(l -> !l.member.equals(context.self()) && now - l.heardMillis > MEMBER_MILLIS);
-    List<Lane> usable = new ArrayList<>();
+    int shortOnly = lanes.size() < 2 ? 0 : Math.max(1, lanes.size() / SHORT_PART);
+    int number = 0;
     for (Lane l : lanes.values()) {
-      if (now - l.failedMillis > FAILED_MILLIS) {
-        usable.add(l);
+      double most = number++ < shortOnly ? LONG_MILLIS : Double.MAX_VALUE;
+      if (l.busy || now - l.failedMillis <= FAILED_MILLIS) {
+        continue;
       }
+      Optional<AdviceRequest> ask = next.apply(most);
+      if (ask.isEmpty() && most == Double.MAX_VALUE) {
+        return;
+      }
+      ask.ifPresent(a -> ask(l, a));
     }
-    if (usable.isEmpty()) {
-      usable.addAll(lanes.values());
-    }
-    int shortOnly = usable.size() < 2 ? 0 : Math.max(1, usable.size() / SHORT_PART);
-    int from = cost >= LONG_MILLIS ? shortOnly : 0;
-    Lane best = usable.get(from);
-    for (Lane l : usable.subList(from, usable.size())) {
-      best = l.freeMillis < best.freeMillis ? l : best;
-    }
-    return best;
   }
 
-  private CompletableFuture<Advice> askHere(Ask ask, long timeout) {
+  private void ask(Lane lane, AdviceRequest ask) {
+    lane.busy = true;
+    long timeout = (long) ask.costMillis() + SLACK_MILLIS;
+    boolean local = lane.member.equals(context.self());
+    shard.afterwards(
+        () ->
+            (local ? askHere(ask, timeout) : askThere(lane.member, ask, timeout))
+                .whenComplete((a, e) -> shard.run(() -> answered(lane, ask, a, e))));
+  }
+
+  private CompletableFuture<Advice> askHere(AdviceRequest ask, long timeout) {
     return context.advice().ask(ask.step(), ask.runners(), timeout);
   }
 
-  private CompletableFuture<Advice> askThere(InstanceInfo member, Ask ask, long timeout) {
+  private CompletableFuture<Advice> askThere(InstanceInfo member, AdviceRequest ask, long timeout) {
     return context
         .peers()
         .request(member, new AdviceCall(ask.step(), ask.runners(), timeout), timeout)
@@ -125,10 +119,10 @@
     throw new IllegalStateException("the instance got no advice");
   }
 
-  private void answered(Lane lane, Ask ask, Advice a, Throwable e) {
+  private void answered(Lane lane, AdviceRequest ask, Advice a, Throwable e) {
+    lane.busy = false;
     if (e != null) {
       lane.failedMillis = context.nowMillis();
-      lane.freeMillis = 0;
       receiver.advised(ask, null, 0);
     } else {
       receiver.advised(ask, a.tickets(), a.validMillis());
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -157,12 +157,17 @@
       return;
     }
     // The claim may have been carried out all the same; the key tells.
+    check(e == null ? 0 : RETRY_MILLIS);
+  }
+
+  /** Reads the key after a while and acts on what it says. */
+  private void check(long delayMillis) {
     shard.afterwards(
         () ->
             context
                 .timer()
                 .schedule(
-                    e == null ? 0 : RETRY_MILLIS,
+                    delayMillis,
                     () ->
                         context
                             .store()
@@ -190,7 +195,7 @@
     }
     if (e != null) {
       claiming = true;
-      claimed(null, e);
+      check(RETRY_MILLIS);
       return;
     }
     Optional<Owner> found = Optional.empty();
@@ -233,7 +238,7 @@
       owner = Optional.empty();
       changed.accept(owner);
       claiming = true;
-      claimed(null, null);
+      check(0);
     }
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -18,7 +18,7 @@
 final class RunnerLink {
 
   /** Time that a hold waits for an end, in milliseconds. */
-  private static final long WAIT_MILLIS = 1_500;
+  private static final long WAIT_MILLIS = 1_000;
 
   /** Time for a call and its answer, in milliseconds. */
   private static final long CALL_MILLIS = 400;
@@ -50,6 +50,9 @@
 
     /** Called when the runner obeys a newer owner. */
     void fenced();
+
+    /** Returns whether the owner no longer acts. */
+    boolean isEnded();
   }
 
   private final DispatchContext context;
@@ -109,6 +112,9 @@
 
   /** Asks the runner if something is to be learnt or its leases must be extended. */
   void wake() {
+    if (host.isEnded()) {
+      return;
+    }
     long now = context.nowMillis();
     if (now > lapsedAtMillis && failures > 0 && host.scheduler().hasRuns(id())) {
       context.report(DispatchTopic.RUNNER_LAPSED, "runner", id());
@@ -167,6 +173,9 @@
     } else {
       holding = false;
     }
+    if (host.isEnded()) {
+      return;
+    }
     if (e != null) {
       failed();
       return;
@@ -218,7 +227,7 @@
 
   /** Sends the next hold, which acknowledges the ends, also if nothing runs there any more. */
   private void acknowledge() {
-    if (!holding) {
+    if (!holding && !host.isEnded()) {
       holding = true;
       hold(host.scheduler().hasRuns(id()) ? WAIT_MILLIS : 0, false);
     }
@@ -270,6 +279,9 @@
   }
 
   private void startAnswered(StartOrder order, StartResult result, long clockMillis) {
+    if (host.isEnded()) {
+      return;
+    }
     clock(clockMillis);
     host.scheduler().startAnswered(order.task(), order.run(), id(), result);
     host.decided();
@@ -294,7 +306,7 @@
   }
 
   private void stopped(TaskKey task, int run, Boolean ok, Throwable e) {
-    if (e != null) {
+    if (e != null || host.isEnded()) {
       // The scheduler sends it again while the run is not known to have ended.
       return;
     }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -104,6 +104,10 @@
       shard.afterwards(o::start);
     }
     endedBeats = 0;
+    if (now.isPresent() && !own) {
+      // The new owner needs the other instances at once.
+      shard.afterwards(() -> tell(now.get(), () -> {}));
+    }
     context.report(
         DispatchTopic.OWNER_SEEN,
         "owner",
@@ -132,14 +136,22 @@
       context.timer().schedule(BEAT_MILLIS / 3, this::beat);
       return;
     }
+    tell(
+        to.get(),
+        () -> {
+          boolean again = shard.call(() -> endedBeats > 0);
+          context.timer().schedule(again ? ENDED_AGAIN_MILLIS : BEAT_MILLIS, this::beat);
+        });
+  }
+
+  private void tell(Owner to, Runnable then) {
     context
         .peers()
-        .request(to.get().info(), new MemberCall(context.self()), BEAT_TIMEOUT_MILLIS)
+        .request(to.info(), new MemberCall(context.self()), BEAT_TIMEOUT_MILLIS)
         .whenComplete(
             (m, e) -> {
-              shard.run(() -> beaten(to.get(), m, e));
-              boolean again = shard.call(() -> endedBeats > 0);
-              context.timer().schedule(again ? ENDED_AGAIN_MILLIS : BEAT_MILLIS, this::beat);
+              shard.run(() -> beaten(to, m, e));
+              then.run();
             });
   }
 
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
@@ -112,6 +112,10 @@
 
   /** Adds records; {@code durable} runs under the shard's lock once they are stored. */
   void append(List<WorkflowRecord> more, Durable durable) {
+    if (stopped) {
+      // Nothing is durable any more: the next owner must hear of it from the runners.
+      return;
+    }
     if (more.isEmpty() && !writing && records.isEmpty()) {
       durable.run();
       return;
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -7,6 +7,7 @@
 import dev.dandelionport.core.message.WorkflowStatus;
 import dev.dandelionport.core.port.InstanceInfo;
 import dev.dandelionport.core.port.RunnerClient.Address;
+import dev.dandelionport.core.workflow.AdviceRequest;
 import dev.dandelionport.core.workflow.StartOrder;
 import dev.dandelionport.core.workflow.WorkflowDecision;
 import dev.dandelionport.core.workflow.WorkflowEffect;
@@ -229,6 +230,7 @@
     passMillis = context.nowMillis();
     scheduler.place();
     take();
+    lanes.fill(scheduler::nextAsk);
   }
 
   /** Carries out what was decided since the last call. */
@@ -241,8 +243,6 @@
     for (WorkflowEffect e : d.effects()) {
       if (e instanceof WorkflowEffect.Stop s) {
         link(s.runner()).stop(s.task(), s.run());
-      } else if (e instanceof WorkflowEffect.Ask a) {
-        lanes.ask(a);
       } else if (e instanceof WorkflowEffect.Note n) {
         note(n);
       } else {
@@ -265,6 +265,9 @@
   }
 
   private void durable(List<WorkflowEffect> effects) {
+    if (ended) {
+      return;
+    }
     storeSeenMillis = context.nowMillis();
     for (WorkflowEffect e : effects) {
       if (e instanceof WorkflowEffect.Start s) {
@@ -303,6 +306,11 @@
     }
   }
 
+  @Override
+  public boolean isEnded() {
+    return ended;
+  }
+
   /** Stops acting; call it with the lock held. */
   void end() {
     ended = true;
@@ -314,7 +322,7 @@
     desk.close();
   }
 
-  private void advised(WorkflowEffect.Ask ask, Map<String, String> tickets, long validMillis) {
+  private void advised(AdviceRequest ask, Map<String, String> tickets, long validMillis) {
     if (ended) {
       return;
     }
@@ -346,8 +354,7 @@
       return CompletableFuture.completedFuture(WorkflowAnswer.of(WorkflowStatus.NOT_OWNER));
     }
     now();
-    CompletableFuture<WorkflowAnswer> answer = desk.call(c, this::decided);
-    return answer;
+    return desk.call(c, this::decided);
   }
 
   WorkflowFigures figures() {
--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -6,8 +6,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 
 /** Decides when to ask which runners may run a step, and about which, and keeps the answers. */
 final class AdviceBook {
@@ -26,14 +30,21 @@
 
   private static final double GAIN = 0.1;
 
-  /** Wait after a call that failed or allowed nothing new, in milliseconds. */
-  private static final long ASK_AGAIN_MILLIS = 60;
+  /** Shortest time between two calls about a step of the first priority, in milliseconds. */
+  private static final long ASK_AGAIN_MILLIS = 30;
+
+  /** Shortest time between two calls about another step, in milliseconds. */
+  private static final long ASK_AGAIN_LATER_MILLIS = 250;
 
   /** Time by which a ticket is taken to end early, in milliseconds. */
   private static final long EARLY_MILLIS = 30;
 
   private final Cell cell;
   private final Map<String, Double> allowedPart = new HashMap<>();
+
+  /** Steps that want advice, the most urgent first. */
+  private final Set<Step> wanted = new LinkedHashSet<>();
+
   private Placement placement;
 
   AdviceBook(Cell cell) {
@@ -44,11 +55,39 @@
     placement = p;
   }
 
-  /** Asks about runners for the waiting tasks of a step, if that can help now. */
-  void want(Step s, Queue q) {
-    if (q.advice().isEmpty() || s.asking > 0 || cell.now < s.askAgainMillis) {
-      return;
+  /** Forgets which steps want advice; a new pass of the placement tells. */
+  void clear() {
+    wanted.clear();
+  }
+
+  /** Notes that a step has tasks that were not placed. */
+  void want(Step s) {
+    wanted.add(s);
+  }
+
+  /** Returns the first call that can help and costs at most {@code maxMillis}. */
+  Optional<AdviceRequest> next(double maxMillis) {
+    for (Iterator<Step> i = wanted.iterator(); i.hasNext(); ) {
+      Step s = i.next();
+      Queue q = cell.queueOf(s);
+      boolean may =
+          q != null && q.advice().isPresent() && s.asking == 0 && cell.now >= s.askAgainMillis;
+      if (!may || q.advice().get().decideMillis() > maxMillis) {
+        continue;
+      }
+      i.remove();
+      List<Runner> named = choose(s, q);
+      if (!named.isEmpty()) {
+        s.asking++;
+        List<String> ids = named.stream().map(Runner::id).toList();
+        return Optional.of(new AdviceRequest(s.key, ids, cost(q.advice().get(), ids.size())));
+      }
     }
+    return Optional.empty();
+  }
+
+  /** Returns the runners to ask about, none if the answer could not help now. */
+  private List<Runner> choose(Step s, Queue q) {
     int needed = s.spec.gang() ? s.spec.tasks() : s.startable(cell.now).size();
     needed = Math.max(1, needed);
     List<Runner> known = new ArrayList<>();
@@ -71,13 +110,13 @@
         unknownRoom += room;
       }
     }
-    if (ticketed >= needed || known.isEmpty() && unknown.isEmpty()) {
-      return;
-    }
-    if (s.spec.gang() && ticketed + knownRoom + unknownRoom < needed) {
-      return;
+    double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
+    boolean hopeless = s.spec.gang() && ticketed + knownRoom + part * unknownRoom < needed;
+    if (ticketed >= needed || known.isEmpty() && unknown.isEmpty() || hopeless) {
+      return List.of();
     }
     known.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
+    unknown.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
     List<Runner> named = new ArrayList<>();
     double room = ticketed;
     for (Runner r : known) {
@@ -86,18 +125,16 @@
         room += placement.copies(r, s, q);
       }
     }
-    double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
-    unknown.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
     int fresh = 0;
     for (Runner r : unknown) {
-      boolean enough = room >= needed * SPARE && fresh >= MIN_NAMED;
-      if (!enough && room < needed * SPARE && named.size() < MAX_NAMED) {
+      boolean more = room < needed * SPARE || !named.isEmpty() && fresh < MIN_NAMED;
+      if (more && named.size() < MAX_NAMED) {
         named.add(r);
         fresh++;
         room += part * placement.copies(r, s, q);
       }
     }
-    ask(s, q, named);
+    return named;
   }
 
   /** Asks ahead for a step whose predecessors are about to be done. */
@@ -121,17 +158,7 @@
         }
       }
     }
-    want(s, q);
-  }
-
-  private void ask(Step s, Queue q, List<Runner> named) {
-    if (named.isEmpty()) {
-      return;
-    }
-    s.asking++;
-    List<String> ids = named.stream().map(Runner::id).toList();
-    double cost = cost(q.advice().get(), ids.size());
-    cell.effect(new WorkflowEffect.Ask(s.key, ids, q.priority() == 0, cost));
+    wanted.add(s);
   }
 
   private static double cost(Advice a, int runners) {
@@ -142,8 +169,9 @@
   void answered(Step s, List<String> named, Map<String, String> tickets, long validMillis) {
     s.asking--;
     Queue q = cell.queueOf(s);
+    boolean urgent = q != null && q.priority() == 0;
+    s.askAgainMillis = cell.now + (urgent ? ASK_AGAIN_MILLIS : ASK_AGAIN_LATER_MILLIS);
     if (tickets == null || q == null) {
-      s.askAgainMillis = cell.now + ASK_AGAIN_MILLIS;
       return;
     }
     long until = cell.now + validMillis - EARLY_MILLIS;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -4,8 +4,11 @@
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** Chooses runners for the tasks of the steps whose turn has come. */
@@ -20,6 +23,19 @@
   /** One part in this many of a runner is kept free of work that is not of the first priority. */
   private static final int HEADROOM_PARTS = 16;
 
+  /** Ranks of steps: in time, late, beyond the account's weight, too late to be of use. */
+  private static final int IN_TIME = 0;
+
+  private static final int LATE = 1;
+  private static final int EXCESS = 2;
+  private static final int WORTHLESS = 3;
+
+  /** Part of a run's expected time that must be left before its due time; estimates are rough. */
+  private static final double REMAINING_PART = 0.7;
+
+  /** How many times the allowed time a workflow may take until its result is of no use. */
+  private static final double WORTHLESS_FACTOR = 3;
+
   /** Time that a ticket must still be valid, for the record and the start, in milliseconds. */
   private static final long TICKET_SPARE_MILLIS = 80;
 
@@ -27,12 +43,14 @@
   private final Runs runs;
   private final AdviceBook advice;
   private final GangPlacement gangs;
+  private final Preemption preemption;
 
   Placement(Cell cell, Runs runs, AdviceBook advice) {
     this.cell = cell;
     this.runs = runs;
     this.advice = advice;
     this.gangs = new GangPlacement(cell, runs, this);
+    this.preemption = new Preemption(cell, runs);
   }
 
   /** Starts what fits, in order. */
@@ -40,7 +58,8 @@
     Set<Runner> reserved = new HashSet<>();
     int reserving = 0;
     int looked = 0;
-    for (Step s : new ArrayList<>(cell.ready)) {
+    advice.clear();
+    for (Step s : order()) {
       if (looked == MAX_STEPS) {
         break;
       }
@@ -63,11 +82,53 @@
       if (!s.startable(cell.now).isEmpty()) {
         boolean ceiling = cell.allowedByCeiling(s) < (s.spec.gang() ? s.spec.tasks() : 1);
         if (!ceiling) {
-          advice.want(s, q);
+          advice.want(s);
+          if (q.priority() == 0) {
+            preemption.makeRoom(s, q, candidates);
+          }
         }
         if (s.spec.gang() && !ceiling && s.gangRun == 0 && reserving < MAX_RESERVING) {
           reserving++;
           reserved.addAll(candidates);
+          reserveAllowed(s, reserved);
+        }
+      }
+    }
+  }
+
+  /**
+   * Returns the steps in the order in which they get room. Work that can still be in time goes
+   * before work that is late anyway, and both before what an account sends beyond its weight.
+   */
+  private List<Step> order() {
+    List<Step> steps = new ArrayList<>(cell.ready);
+    Map<Step, Integer> ranks = new HashMap<>();
+    for (Step s : steps) {
+      ranks.put(s, rank(s));
+    }
+    // The sort is stable: within a rank, priority and due time decide.
+    steps.sort(Comparator.comparingInt(ranks::get));
+    return steps;
+  }
+
+  private int rank(Step s) {
+    if (s.workflow.spec.excess()) {
+      return EXCESS;
+    }
+    double left = REMAINING_PART * cell.times.expectedMillis(s);
+    if (cell.now + left <= s.dueMillis) {
+      return IN_TIME;
+    }
+    long allowed = s.dueMillis - s.workflow.acceptedMillis;
+    return cell.now - s.workflow.acceptedMillis > WORTHLESS_FACTOR * allowed ? WORTHLESS : LATE;
+  }
+
+  /** Keeps the runners that may run a gang free while tickets for them are asked for. */
+  private void reserveAllowed(Step s, Set<Runner> reserved) {
+    if (s.asking > 0) {
+      for (Runner r : cell.runners.values()) {
+        if (s.allowed.contains(r.id() + r.born)) {
+          reserved.add(r);
         }
       }
     }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Run.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Run.java
@@ -67,12 +67,6 @@
 
   long savedMillis;
 
-  /** Processor time in use, as last reported, in thousandths of a core; -1 if not stated. */
-  long recent = -1;
-
-  /** When the run was first reported as using no processor time; 0 if it uses some. */
-  long idleSinceMillis;
-
   Run(Task task, int number, Runner runner, long born) {
     this.task = task;
     this.number = number;
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerReports.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerReports.java
@@ -106,9 +106,6 @@
       run.saved = x.saved();
       run.savedMillis = cell.now;
     }
-    run.recent = x.recent();
-    run.idleSinceMillis =
-        x.recent() != 0 ? 0 : run.idleSinceMillis == 0 ? cell.now : run.idleSinceMillis;
     Workflow w = run.task.step.workflow;
     if (run.stop != null) {
       runs.stopAgain(run);
@@ -121,6 +118,7 @@
   void confirm(Run run) {
     if (run.phase != Phase.PRESENT) {
       run.phase = Phase.PRESENT;
+      runs.began(run.task.step.workflow);
       run.confirmedMillis = cell.now;
       run.sentMillis = run.sentMillis == 0 ? cell.now : run.sentMillis;
     }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Runs.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Runs.java
@@ -34,8 +34,6 @@
     t.run = r;
     cell.occupy(r);
     runner.health.started();
-    Workflow w = t.step.workflow;
-    w.state = w.state == WorkflowState.QUEUED ? WorkflowState.RUNNING : w.state;
     cell.record(new Intended(t.key, number, runner.id(), runner.born));
     cell.effect(new WorkflowEffect.Start(t.key, number, runner.id()));
     return r;
@@ -106,8 +104,9 @@
     Task t = r.task;
     boolean wasHeld = h.isHeld();
     if (how == RunEnd.DONE && r.sentMillis > 0) {
-      boolean whole = t.saved.isEmpty() && t.lastRun <= 1 && !t.step.spec.gang();
+      boolean whole = t.saved.isEmpty() && !r.inherited && !t.step.spec.gang();
       long ran = cell.now - r.sentMillis;
+      t.step.longestMillis = whole ? Math.max(t.step.longestMillis, ran) : t.step.longestMillis;
       h.done(whole ? cell.times.ran(t.step, ran) : 1);
     } else if (how == RunEnd.FAILED && t.failures == 0 && r.born == r.runner.born) {
       h.failed(cell.now);
@@ -122,6 +121,9 @@
   void apply(Task t, int number, RunEnd how, String saved) {
     Step s = t.step;
     t.lastRun = Math.max(t.lastRun, number);
+    if (how != RunEnd.NEVER_STARTED) {
+      began(s.workflow);
+    }
     if (!saved.isEmpty()) {
       // Any member's checkpoint stands for the whole gang, and all must continue from the same one.
       List<Task> of = s.spec.gang() ? s.tasks : List.of(t);
@@ -138,7 +140,9 @@
       }
     } else if (how == RunEnd.FAILED) {
       t.failures++;
-      if (s.spec.gang() && number == s.gangRun && !s.gangBroken) {
+      if (s.spec.gang() && number != s.gangFailedRun) {
+        // The ends of its members come in any order; one run of the gang fails once.
+        s.gangFailedRun = number;
         s.gangFailures++;
       }
     }
@@ -147,6 +151,12 @@
     }
   }
 
+  /** Notes that a runner has had a task of a workflow. */
+  void began(Workflow w) {
+    w.begun = true;
+    w.state = w.state == WorkflowState.QUEUED ? WorkflowState.RUNNING : w.state;
+  }
+
   private void afterEnd(Task t) {
     Step s = t.step;
     Workflow w = s.workflow;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Step.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Step.java
@@ -39,6 +39,9 @@
   /** When advice may be asked for again, on the owner's steady clock. */
   long askAgainMillis;
 
+  /** Longest run from its start to its end among the tasks that are done; 0 if none is. */
+  long longestMillis;
+
   /** Priority of the queue; 0 goes first. */
   int priority;
 
@@ -48,6 +51,9 @@
   /** Failed runs of the gang. */
   int gangFailures;
 
+  /** Number of the latest run of the gang that failed. */
+  int gangFailedRun;
+
   /** Number of the gang's run that is under way; 0 if none is. */
   int gangRun;
 
--- a/core/src/main/java/dev/dandelionport/core/workflow/StepSpec.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/StepSpec.java
@@ -50,4 +50,15 @@
   ResourceVector reserved() {
     return filler ? new ResourceVector(0, 0, 0, size.memoryMb(), size.accelerators()) : size;
   }
+
+  /** Returns a short description for logs, such as {@code 6x18000m/26000MB 4000ms gang}. */
+  String summary() {
+    StringBuilder b = new StringBuilder();
+    b.append(tasks).append('x').append(size.milliCores()).append("m/");
+    b.append(size.memoryMb()).append("MB ").append(estimateMillis).append("ms");
+    b.append(gang ? " gang" : "").append(filler ? " filler" : "");
+    b.append(checkpoints ? " checkpoints" : "").append(lasting ? " lasting" : "");
+    b.append(maxPerRunner > 0 ? " atMost" + maxPerRunner : "");
+    return b.append(speculative ? " speculative" : "").toString();
+  }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
@@ -11,14 +11,17 @@
 /** Looks at regular times for what no message tells: stuck runs, gangs that are not whole. */
 final class Watchdog {
 
-  /** How many times the longest run of its queue a run may take before it counts as stuck. */
-  private static final double STUCK_FACTOR = 1.5;
+  /** How many times a long run of its queue a run may take before it counts as stuck. */
+  private static final double QUEUE_FACTOR = 1.3;
 
-  /** Time beyond that before a run counts as stuck, in milliseconds. */
-  private static final long STUCK_MILLIS = 1_000;
+  /** How many times the longest run of the same step a run may take. */
+  private static final double STEP_FACTOR = 2.2;
 
-  /** Time without any use of the processor after which a run counts as stuck, in milliseconds. */
-  private static final long IDLE_MILLIS = 1_200;
+  /** How many intervals of checkpoints a run may go without a new one. */
+  private static final double CHECKPOINT_FACTOR = 2;
+
+  /** Time beyond each of these bounds before a run counts as stuck, in milliseconds. */
+  private static final long SPARE_MILLIS = 600;
 
   private final Cell cell;
   private final Runs runs;
@@ -75,11 +78,8 @@
     if (x.phase != Phase.PRESENT || s.spec.lasting() || x.sentMillis == 0) {
       return;
     }
-    long since = Math.max(x.sentMillis, x.savedMillis);
-    long ran = cell.now - since;
-    boolean idle = x.idleSinceMillis > 0 && cell.now - x.idleSinceMillis > IDLE_MILLIS;
-    boolean slow = ran > STUCK_FACTOR * cell.times.longestMillis(s) + STUCK_MILLIS;
-    if (slow || idle && !s.spec.filler() && ran > IDLE_MILLIS) {
+    String why = s.spec.filler() ? "" : whyStuck(x, s);
+    if (!why.isEmpty()) {
       cell.note(
           Topic.STOPPED,
           "task",
@@ -89,12 +89,32 @@
           "runner",
           x.runner.id(),
           "why",
-          idle ? "uses no processor time" : "takes too long",
+          why,
           "ranMillis",
-          ran);
-      x.runner.health.hold(cell.now);
+          cell.now - x.sentMillis);
+      if (!s.spec.gang()) {
+        // Any member may be what a gang waits for.
+        x.runner.health.hold(cell.now);
+      }
       x.task.failedOn = x.runner.id();
       runs.stop(x, Stop.STUCK);
     }
   }
+
+  private String whyStuck(Run x, Step s) {
+    long ran = cell.now - x.sentMillis;
+    long usual = cell.times.longMillis(s);
+    if (usual > 0 && ran > QUEUE_FACTOR * usual + SPARE_MILLIS) {
+      return "takes longer than runs of its queue";
+    }
+    if (s.longestMillis > 0 && ran > STEP_FACTOR * s.longestMillis + SPARE_MILLIS) {
+      return "takes longer than the other tasks of its step";
+    }
+    long quiet = cell.now - Math.max(x.confirmedMillis, x.savedMillis);
+    boolean saves = s.spec.checkpoints() && !s.spec.gang();
+    if (saves && quiet > CHECKPOINT_FACTOR * cell.limits.checkpointMillis() + SPARE_MILLIS) {
+      return "saves no checkpoint";
+    }
+    return "";
+  }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Workflow.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Workflow.java
@@ -20,6 +20,9 @@
 
   WorkflowState state = WorkflowState.QUEUED;
 
+  /** Whether a runner has had one of its tasks. */
+  boolean begun;
+
   /** State whose record is durable; the one that callers may see. */
   WorkflowState shown = WorkflowState.QUEUED;
 
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowCodec.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowCodec.java
@@ -104,7 +104,8 @@
     } else if (r instanceof TaskProgress t) {
       p.packInt(PROGRESS);
       packTask(p, t.task());
-      p.packInt(t.lastRun()).packInt(t.failures()).packBoolean(t.done()).packString(t.saved());
+      p.packInt(t.lastRun()).packInt(t.failures()).packInt(t.failedRun());
+      p.packBoolean(t.done()).packBoolean(t.begun()).packString(t.saved());
     }
   }
 
@@ -128,7 +129,13 @@
       case POLICY_SEEN -> new PolicySeen(u.unpackLong());
       case PROGRESS ->
           new TaskProgress(
-              unpackTask(u), u.unpackInt(), u.unpackInt(), u.unpackBoolean(), u.unpackString());
+              unpackTask(u),
+              u.unpackInt(),
+              u.unpackInt(),
+              u.unpackInt(),
+              u.unpackBoolean(),
+              u.unpackBoolean(),
+              u.unpackString());
       default -> throw new IllegalArgumentException("journal record of unknown kind " + kind);
     };
   }
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
@@ -14,15 +14,6 @@
   /** Stops a run, at once. */
   record Stop(TaskKey task, int run, String runner) implements WorkflowEffect {}
 
-  /** Asks which of some runners may run a step. */
-  record Ask(StepKey step, List<String> runners, boolean urgent, double costMillis)
-      implements WorkflowEffect {
-    /** Copies the list. */
-    public Ask {
-      runners = List.copyOf(runners);
-    }
-  }
-
   /** Shows a state to callers once the records made so far are durable. */
   record Show(String workflow, WorkflowState state) implements WorkflowEffect {}
 
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowRecord.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowRecord.java
@@ -28,7 +28,19 @@
   /** The owner acted on this version of the configuration; later owners need it or a newer one. */
   record PolicySeen(long version) implements WorkflowRecord {}
 
-  /** Where a task stands; part of snapshots. */
-  record TaskProgress(TaskKey task, int lastRun, int failures, boolean done, String saved)
+  /**
+   * Where a task stands; part of snapshots.
+   *
+   * @param failedRun latest run of its gang that failed; 0 if none did
+   * @param begun whether a runner has had a task of the workflow
+   */
+  record TaskProgress(
+      TaskKey task,
+      int lastRun,
+      int failures,
+      int failedRun,
+      boolean done,
+      boolean begun,
+      String saved)
       implements WorkflowRecord {}
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowReplay.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowReplay.java
@@ -74,7 +74,6 @@
       t.step.gangRun = i.run();
       t.step.gangSinceMillis = cell.now;
     }
-    t.step.workflow.state = WorkflowState.RUNNING;
     cell.occupy(r);
   }
 
@@ -115,12 +114,13 @@
     t.saved = p.saved();
     if (t.step.spec.gang()) {
       t.step.gangFailures = Math.max(t.step.gangFailures, p.failures());
+      t.step.gangFailedRun = Math.max(t.step.gangFailedRun, p.failedRun());
     }
     if (p.done()) {
       t.step.finish(t);
     }
-    if (p.lastRun() > 0) {
-      t.step.workflow.state = WorkflowState.RUNNING;
+    if (p.begun()) {
+      runs.began(t.step.workflow);
     }
   }
 
@@ -149,7 +149,7 @@
       all.add(new Accepted(over ? bare(w.spec) : w.spec, w.acceptedWallMillis));
       for (Step s : over ? List.<Step>of() : w.steps) {
         for (Task t : s.tasks) {
-          snapshot(t, all);
+          addTask(t, all);
         }
       }
       if (w.state.isFinal()) {
@@ -165,10 +165,18 @@
         s.id(), s.queue(), s.account(), "", List.of(), Recurrence.ONCE, s.excess());
   }
 
-  private static void snapshot(Task t, List<WorkflowRecord> all) {
+  private static void addTask(Task t, List<WorkflowRecord> all) {
     int failures = t.step.spec.gang() ? t.step.gangFailures : t.failures;
     if (t.lastRun > 0 || t.done) {
-      all.add(new TaskProgress(t.key, t.lastRun, failures, t.done, t.saved));
+      all.add(
+          new TaskProgress(
+              t.key,
+              t.lastRun,
+              failures,
+              t.step.gangFailedRun,
+              t.done,
+              t.step.workflow.begun,
+              t.saved));
     }
     if (t.run != null) {
       all.add(new WorkflowRecord.Intended(t.key, t.run.number, t.run.runner.id(), t.run.born));
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Schedules all workflows of a cell. It is deterministic and does no I/O: whoever drives it tells
@@ -107,7 +108,7 @@
         "account",
         spec.account(),
         "steps",
-        spec.steps().size(),
+        spec.steps().stream().map(StepSpec::summary).collect(Collectors.joining(", ")),
         "excess",
         excess,
         "policy",
@@ -162,7 +163,7 @@
   public int pending(String queue) {
     int n = 0;
     for (Workflow w : cell.workflows.values()) {
-      n += w.state == WorkflowState.QUEUED && w.spec.queue().equals(queue) ? 1 : 0;
+      n += !w.state.isFinal() && !w.begun && w.spec.queue().equals(queue) ? 1 : 0;
     }
     return n;
   }
@@ -342,6 +343,14 @@
         && r.runs.stream().anyMatch(x -> x.phase == Phase.UNCONFIRMED && x.stopAckMillis > 0);
   }
 
+  /**
+   * Returns the most urgent call for advice that can help now and costs at most {@code maxMillis};
+   * its answer, or its failure, must be told with {@link #advised}.
+   */
+  public Optional<AdviceRequest> nextAsk(double maxMillis) {
+    return advice.next(maxMillis);
+  }
+
   /** Takes over advice on a step; {@code tickets} is null if the call failed. */
   public void advised(
       StepKey step, List<String> named, Map<String, String> tickets, long validMillis) {
