--- a/core/src/main/java/dev/dandelionport/core/dispatch/HistoryReader.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/HistoryReader.java
@@ -23,6 +23,7 @@
    * @param nextBatch number of the next batch
    * @param firstBatch number of the oldest batch in the store
    * @param parts keys of the snapshot
+   * @param headRevision revision of the key that names the snapshot
    * @param obsolete keys that nothing refers to any more
    */
   record History(
@@ -30,11 +31,12 @@
       long nextBatch,
       long firstBatch,
       List<String> parts,
+      long headRevision,
       List<String> obsolete) {}
 
   private HistoryReader() {}
 
-  /** Reads all; fails if the store does not answer or the history has a hole. */
+  /** Reads all; fails if the store does not answer or a snapshot lacks a part. */
   static CompletableFuture<History> read(SharedStore store) {
     return page(store, "", new TreeMap<>()).thenApply(HistoryReader::decode);
   }
@@ -68,12 +70,16 @@
       records.addAll(WorkflowCodec.decode(e.value()));
     }
     long next = h.number() + 1;
+    boolean hole = false;
     for (Entry e : all.values()) {
       boolean batch = StoreKeys.isBatch(e.key());
       long number = batch || StoreKeys.isPart(e.key()) ? StoreKeys.number(e.key()) : -1;
       if (batch && number > h.number()) {
-        if (number != next) {
-          throw new IllegalStateException("journal batch " + next + " is missing");
+        hole |= number != next;
+        if (hole) {
+          // Nothing that waited for this batch was done, because an earlier one was not stored.
+          obsolete.add(0, e.key());
+          continue;
         }
         records.addAll(WorkflowCodec.decode(e.value()));
         next++;
@@ -81,6 +87,7 @@
         obsolete.add(e.key());
       }
     }
-    return new History(records, next, h.number() + 1, parts, obsolete);
+    long headRevision = head == null ? SharedStore.ABSENT : head.revision();
+    return new History(records, next, h.number() + 1, parts, headRevision, obsolete);
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
@@ -25,7 +25,7 @@
   private static final long TRY_MILLIS = 900;
 
   /** Longest wait for an owner before a request that was never sent is refused. */
-  private static final long NO_OWNER_MILLIS = 2_000;
+  private static final long NO_OWNER_MILLIS = 2_500;
 
   /** Time kept for the answer's way back, in milliseconds. */
   private static final long SPARE_MILLIS = 120;
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
@@ -15,27 +15,36 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.LongConsumer;
 
 /**
- * Writes records to the store in numbered batches, one transaction at a time. Each demands that the
- * instance still is the owner and that the batch does not exist yet, so a former owner can add
- * nothing and a repeated transaction is carried out once. Guarded by the owner's shard.
+ * Writes records to the store in numbered batches. Each transaction demands that the instance still
+ * is the owner and that the batch does not exist yet, so a former owner can add nothing and a
+ * repeated transaction is carried out once. Several batches may be under way; what waits for one of
+ * them runs only after all earlier ones are stored, and a batch behind one that was never stored
+ * does not count. Guarded by the owner's shard.
  */
 final class WorkflowJournal {
 
   /** Shortest time between two batches, in milliseconds; bounds the store's writes. */
   private static final long GAP_MILLIS = 10;
 
+  /** The same while a batch is under way, because the store is slow. */
+  private static final long SLOW_GAP_MILLIS = 20;
+
+  /** Most batches under way. */
+  private static final int MAX_IN_FLIGHT = 8;
+
   private static final long RETRY_MILLIS = 60;
 
   /** Batches after which a snapshot replaces them. */
-  private static final int SNAPSHOT_BATCHES = 600;
+  private static final int SNAPSHOT_BATCHES = 250;
 
   /** Bytes of a snapshot's part. */
   private static final int PART_BYTES = 256 << 10;
 
   /** Records that a part is tried with; a record takes up to about 5 KB. */
-  private static final int PART_RECORDS = 500;
+  private static final int PART_RECORDS = 1_000;
 
   /** Age of a batch from which it is reported as slow, in milliseconds. */
   private static final long SLOW_MILLIS = 400;
@@ -43,26 +52,43 @@
   /** Two conditions and one write leave this many deletions in a batch's transaction. */
   private static final int DELETES = SharedStore.MAX_TRANSACTION - 3;
 
-  /** Something that waits for the batch that is collected. */
+  /** Something that waits for a batch. */
   interface Durable {
     void run();
   }
 
+  private static final class Batch {
+    final Transaction transaction;
+    final String key;
+    final List<Durable> waiting;
+    boolean stored;
+    boolean sending;
+
+    Batch(Transaction transaction, String key, List<Durable> waiting) {
+      this.transaction = transaction;
+      this.key = key;
+      this.waiting = waiting;
+    }
+  }
+
   private final DispatchContext context;
   private final Shard shard;
   private final long ownerRevision;
   private final Runnable fenced;
   private final Deque<String> obsolete = new ArrayDeque<>();
+  private final Deque<Batch> inFlight = new ArrayDeque<>();
   private List<WorkflowRecord> records = new ArrayList<>();
   private List<Durable> waiting = new ArrayList<>();
   private long next;
   private long batchesSinceSnapshot;
-  private boolean writing;
+  private boolean first = true;
+  private boolean snapshotting;
   private boolean scheduled;
   private boolean stopped;
   private long lastWriteMillis;
   private long failingSinceMillis;
   private List<String> lastParts;
+  private long headRevision;
 
   /** The batches that a snapshot will replace once its head is written. */
   private long firstBatch;
@@ -71,29 +97,24 @@
    * Creates a journal.
    *
    * @param ownerRevision revision of the owner's key
-   * @param first number of the first batch that is written
-   * @param firstKept number of the oldest batch in the store
-   * @param parts keys of the present snapshot
-   * @param obsolete keys that nothing refers to any more
+   * @param history what the store has
    * @param fenced called when another instance is the owner
    */
   WorkflowJournal(
       DispatchContext context,
       Shard shard,
       long ownerRevision,
-      long first,
-      long firstKept,
-      List<String> parts,
-      List<String> obsolete,
+      HistoryReader.History history,
       Runnable fenced) {
     this.context = context;
     this.shard = shard;
     this.ownerRevision = ownerRevision;
-    this.next = first;
-    this.firstBatch = firstKept;
-    this.batchesSinceSnapshot = first - firstKept;
-    this.lastParts = new ArrayList<>(parts);
-    this.obsolete.addAll(obsolete);
+    this.next = history.nextBatch();
+    this.firstBatch = history.firstBatch();
+    this.batchesSinceSnapshot = next - firstBatch;
+    this.lastParts = new ArrayList<>(history.parts());
+    this.obsolete.addAll(history.obsolete());
+    this.headRevision = history.headRevision();
     this.fenced = fenced;
   }
 
@@ -101,13 +122,8 @@
     stopped = true;
   }
 
-  /** Returns since when writes fail, on the steady clock; 0 if they do not. */
-  long failingSinceMillis() {
-    return failingSinceMillis;
-  }
-
   boolean isIdle() {
-    return !writing && records.isEmpty() && waiting.isEmpty();
+    return inFlight.isEmpty() && records.isEmpty() && waiting.isEmpty();
   }
 
   /** Adds records; {@code durable} runs under the shard's lock once they are stored. */
@@ -116,8 +132,12 @@
       // Nothing is durable any more: the next owner must hear of it from the runners.
       return;
     }
-    if (more.isEmpty() && !writing && records.isEmpty()) {
-      durable.run();
+    if (more.isEmpty() && records.isEmpty()) {
+      if (inFlight.isEmpty()) {
+        durable.run();
+      } else {
+        inFlight.getLast().waiting.add(durable);
+      }
       return;
     }
     records.addAll(more);
@@ -126,135 +146,175 @@
   }
 
   private void writeSoon() {
-    if (writing || scheduled || stopped) {
+    // Leftovers of a former owner must be deleted before their numbers are used again.
+    int most = first ? 1 : MAX_IN_FLIGHT;
+    if (scheduled || stopped || records.isEmpty() || inFlight.size() >= most) {
       return;
     }
-    long wait = lastWriteMillis + GAP_MILLIS - context.nowMillis();
+    long gap = inFlight.isEmpty() ? GAP_MILLIS : SLOW_GAP_MILLIS;
+    long wait = lastWriteMillis + gap - context.nowMillis();
     if (wait <= 0) {
       write();
       return;
     }
     scheduled = true;
+    later(
+        wait,
+        () -> {
+          scheduled = false;
+          writeSoon();
+        });
+  }
+
+  private void later(long millis, Runnable action) {
     shard.afterwards(
         () ->
             context
                 .timer()
                 .schedule(
-                    wait,
+                    millis,
                     () ->
                         shard.run(
                             () -> {
-                              scheduled = false;
-                              if (!writing && !stopped) {
-                                write();
+                              if (!stopped) {
+                                action.run();
                               }
                             })));
   }
 
   private void write() {
-    if (records.isEmpty()) {
-      List<Durable> done = waiting;
-      waiting = new ArrayList<>();
-      done.forEach(Durable::run);
-      return;
-    }
-    writing = true;
     lastWriteMillis = context.nowMillis();
-    final List<Durable> done = waiting;
     byte[] bytes = WorkflowCodec.encode(records);
-    records = new ArrayList<>();
-    waiting = new ArrayList<>();
     List<String> deletes = new ArrayList<>();
     while (!obsolete.isEmpty() && deletes.size() < DELETES) {
       deletes.add(obsolete.poll());
     }
-    String key = StoreKeys.batch(next);
-    send(
+    String key = StoreKeys.batch(next++);
+    Transaction t =
         new Transaction(
             List.of(
                 new Condition(StoreKeys.OWNER, ownerRevision),
                 new Condition(key, SharedStore.ABSENT)),
             List.of(new Write(key, bytes, SharedStore.NO_LEASE)),
-            deletes),
-        key,
-        () -> {
-          next++;
+            deletes);
+    Batch b = new Batch(t, key, waiting);
+    records = new ArrayList<>();
+    waiting = new ArrayList<>();
+    inFlight.add(b);
+    send(b);
+  }
+
+  private void send(Batch b) {
+    b.sending = true;
+    commit(
+        b.transaction,
+        b.key,
+        revision -> {
+          b.stored = true;
           batchesSinceSnapshot++;
-          writing = false;
-          done.forEach(Durable::run);
-          if (!records.isEmpty() || !waiting.isEmpty()) {
-            writeSoon();
-          }
+          first = false;
+          drain();
+        },
+        () -> {
+          b.sending = false;
+          // Only the oldest batch is tried again while the store fails.
+          later(
+              RETRY_MILLIS,
+              () -> {
+                if (b == inFlight.peek() && !b.sending && !b.stored) {
+                  send(b);
+                }
+              });
         });
   }
 
-  /** Sends a transaction until its fate is known. */
-  private void send(Transaction t, String key, Runnable done) {
+  private void drain() {
+    while (!inFlight.isEmpty() && inFlight.peek().stored) {
+      inFlight.poll().waiting.forEach(Durable::run);
+    }
+    for (Batch b : inFlight) {
+      if (!b.sending && !b.stored) {
+        send(b);
+      }
+    }
+    writeSoon();
+  }
+
+  /** Sends a transaction; ends the journal if another instance is the owner. */
+  private void commit(Transaction t, String key, LongConsumer stored, Runnable failed) {
     long sent = context.nowMillis();
     shard.afterwards(
         () ->
             context
                 .store()
                 .commit(t)
-                .whenComplete((o, e) -> shard.run(() -> answered(t, key, done, o, e, sent))));
+                .whenComplete(
+                    (o, e) ->
+                        shard.run(
+                            () -> {
+                              if (!stopped) {
+                                answered(t, key, o, e, sent, stored, failed);
+                              }
+                            })));
   }
 
   private void answered(
-      Transaction t, String key, Runnable done, Outcome o, Throwable e, long sent) {
-    if (stopped) {
-      return;
-    }
-    long now = context.nowMillis();
+      Transaction t,
+      String key,
+      Outcome o,
+      Throwable e,
+      long sent,
+      LongConsumer stored,
+      Runnable failed) {
     if (e != null) {
-      failingSinceMillis = failingSinceMillis == 0 ? now : failingSinceMillis;
-      shard.afterwards(
-          () ->
-              context
-                  .timer()
-                  .schedule(
-                      RETRY_MILLIS,
-                      () ->
-                          shard.run(
-                              () -> {
-                                if (!stopped) {
-                                  send(t, key, done);
-                                }
-                              })));
+      failingSinceMillis = failingSinceMillis == 0 ? sent : failingSinceMillis;
+      failed.run();
       return;
     }
-    if (o instanceof Committed || o instanceof Rejected r && isOwn(r, key)) {
-      if (failingSinceMillis > 0 || now - sent > SLOW_MILLIS) {
-        long millis = failingSinceMillis > 0 ? now - failingSinceMillis : now - sent;
-        shard.afterwards(() -> context.report(DispatchTopic.BATCH_SLOW, "millis", millis));
-      }
-      failingSinceMillis = 0;
-      done.run();
-    } else {
+    long revision = storedRevision(t, key, o);
+    if (revision == SharedStore.ABSENT) {
       stopped = true;
       fenced.run();
+      return;
+    }
+    long millis = context.nowMillis() - (failingSinceMillis > 0 ? failingSinceMillis : sent);
+    if (millis > SLOW_MILLIS) {
+      shard.afterwards(() -> context.report(DispatchTopic.BATCH_SLOW, "millis", millis));
     }
+    failingSinceMillis = 0;
+    stored.accept(revision);
   }
 
-  /** Returns whether an earlier try, whose answer was lost, was carried out. */
-  private boolean isOwn(Rejected r, String key) {
+  /**
+   * Returns the revision of a key that a transaction, or an earlier try of it whose answer was
+   * lost, has written; {@link SharedStore#ABSENT} if another instance is the owner.
+   */
+  private long storedRevision(Transaction t, String key, Outcome o) {
+    if (o instanceof Committed c) {
+      return c.revision();
+    }
+    if (!(o instanceof Rejected r)) {
+      return SharedStore.ABSENT;
+    }
     boolean owner = false;
-    boolean written = false;
+    long revision = SharedStore.ABSENT;
     for (Entry x : r.current()) {
       owner |= x.key().equals(StoreKeys.OWNER) && x.revision() == ownerRevision;
-      written |= x.key().equals(key) && x.revision() != SharedStore.ABSENT;
+      boolean changed = !t.conditions().contains(new Condition(key, x.revision()));
+      revision = x.key().equals(key) && changed ? x.revision() : revision;
     }
-    return owner && written;
+    return owner ? revision : SharedStore.ABSENT;
   }
 
   /** Returns whether enough batches were written for a snapshot, and none is under way. */
   boolean wantsSnapshot() {
-    return batchesSinceSnapshot >= SNAPSHOT_BATCHES && isIdle() && !stopped;
+    return batchesSinceSnapshot >= SNAPSHOT_BATCHES && isIdle() && !snapshotting && !stopped;
   }
 
   /** Writes a snapshot of all batches so far, then lets later batches delete what it replaces. */
   void snapshot(List<WorkflowRecord> all) {
     batchesSinceSnapshot = 0;
-    writing = true;
+    snapshotting = true;
     long number = next - 1;
     List<byte[]> parts = split(all);
     List<String> keys = new ArrayList<>();
@@ -288,29 +348,35 @@
     byte[] value = last ? SnapshotHead.encode(number, parts.size()) : parts.get(i);
     Transaction t =
         new Transaction(
-            List.of(new Condition(StoreKeys.OWNER, ownerRevision)),
+            List.of(
+                new Condition(StoreKeys.OWNER, ownerRevision),
+                // A try without an answer may be carried out late; it must not undo a newer one.
+                new Condition(key, last ? headRevision : SharedStore.ABSENT)),
             List.of(new Write(key, value, SharedStore.NO_LEASE)),
             List.of());
-    send(
+    commit(
         t,
         key,
-        () -> {
-          if (!last) {
+        revision -> {
+          if (last) {
+            headRevision = revision;
+            replaced(number, keys);
+          } else {
             writePart(number, parts, keys, i + 1);
-            return;
           }
-          writing = false;
-          obsolete.addAll(lastParts);
-          lastParts = keys;
-          for (long n = firstBatch; n <= number; n++) {
-            obsolete.add(StoreKeys.batch(n));
-          }
-          firstBatch = number + 1;
-          shard.afterwards(
-              () -> context.report(DispatchTopic.SNAPSHOT, "batch", number, "parts", parts.size()));
-          if (!records.isEmpty() || !waiting.isEmpty()) {
-            writeSoon();
-          }
-        });
+        },
+        () -> later(RETRY_MILLIS, () -> writePart(number, parts, keys, i)));
+  }
+
+  private void replaced(long number, List<String> keys) {
+    snapshotting = false;
+    obsolete.addAll(lastParts);
+    lastParts = keys;
+    for (long n = firstBatch; n <= number; n++) {
+      obsolete.add(StoreKeys.batch(n));
+    }
+    firstBatch = number + 1;
+    shard.afterwards(
+        () -> context.report(DispatchTopic.SNAPSHOT, "batch", number, "parts", keys.size()));
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -101,16 +101,7 @@
       scheduler.replay(r);
     }
     scheduler.replayed();
-    journal =
-        new WorkflowJournal(
-            context,
-            shard,
-            revision,
-            h.nextBatch(),
-            h.firstBatch(),
-            h.parts(),
-            h.obsolete(),
-            this::fenced);
+    journal = new WorkflowJournal(context, shard, revision, h, this::fenced);
     desk.use(journal);
     context.report(
         DispatchTopic.OWNER_CLAIMED,
--- /dev/null
+++ b/standin/src/main/java/dev/dandelionport/standin/fleet/ArchiveBuild.java
@@ -0,0 +1,110 @@
+package dev.dandelionport.standin.fleet;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs an instance against the stand-in for a moment, so that its virtual machine writes an archive
+ * of the classes that it has loaded. A start with the archive takes about half the time.
+ */
+public final class ArchiveBuild {
+
+  private static final int RUNNERS = 6;
+  private static final int JOBS = 12;
+  private static final long READY_MILLIS = 15_000;
+  private static final long STOP_SECONDS = 30;
+  private static final String LOCALHOST = "127.0.0.1";
+
+  private ArchiveBuild() {}
+
+  /** Builds the archive: its file, then the command that starts an instance. */
+  public static void main(String[] args) throws IOException, InterruptedException {
+    Path archive = Path.of(args[0]).toAbsolutePath();
+    Files.deleteIfExists(archive);
+    Path settings = archive.resolveSibling("archive-settings.json");
+    int callers = freePort();
+    try (FleetPlatform platform = new FleetPlatform(RUNNERS)) {
+      Files.writeString(settings, settings(platform.port(), callers, freePort(), freePort()));
+      List<String> command = new ArrayList<>(List.of(args).subList(1, args.length));
+      // Classes that cannot be archived are no news.
+      command.addAll(1, List.of("-Xlog:disable", "-XX:ArchiveClassesAtExit=" + archive));
+      ProcessBuilder b = new ProcessBuilder(command).inheritIO();
+      b.environment().put("DANDELIONPORT_BOOT", settings.toString());
+      Process instance = b.redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+      try {
+        use(callers);
+      } finally {
+        instance.destroy();
+        if (!instance.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+          instance.destroyForcibly();
+        }
+      }
+    }
+    // Without the archive an instance only starts more slowly, so that is no failure of the build.
+    System.out.println(
+        Files.exists(archive) ? "class archive: " + archive : "no class archive was written");
+    System.exit(0);
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket s = new ServerSocket(0)) {
+      return s.getLocalPort();
+    }
+  }
+
+  private static String settings(int platform, int callers, int readiness, int peers) {
+    String address = "\"" + LOCALHOST + ":" + platform + "\"";
+    return """
+        {"node-name":"archive","role":"edge","zone":"zone-0","region":"region","ip":"%s",\
+        "listen-addrs":{"frontend":"%s:%d","readiness":"%s:%d"},"port-range":[%d,%d],\
+        "bounds":{},"advice":%s,"platform":{"address":%s,"ttl-min-ms":1000}}"""
+        .formatted(
+            LOCALHOST, LOCALHOST, callers, LOCALHOST, readiness, peers, peers, address, address);
+  }
+
+  /** Submits some jobs and waits until the last one is over. */
+  private static void use(int port) throws InterruptedException {
+    HttpClient client = HttpClient.newHttpClient();
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
+    String body =
+        "{\"spec\":\"5\",\"steps\":[{\"count\":2,\"cpu\":100,\"mem-mb\":10,\"estimate-ms\":5},"
+            + "{\"count\":2,\"cpu\":100,\"mem-mb\":10,\"estimate-ms\":5,\"gang\":true,"
+            + "\"after\":[0]}]}";
+    for (int i = 0; i < JOBS && System.nanoTime() < deadline; i++) {
+      String id = String.format("%016x", i + 1);
+      while (call(client, port, id, "POST", body) != 200 && System.nanoTime() < deadline) {
+        Thread.sleep(100);
+      }
+      Thread.sleep(50);
+      call(client, port, id, "GET", "");
+    }
+    call(client, port, "", "GET", "");
+    call(client, port, String.format("%016x", 1), "DELETE", "");
+  }
+
+  private static int call(HttpClient client, int port, String id, String method, String body)
+      throws InterruptedException {
+    HttpRequest r =
+        HttpRequest.newBuilder(
+                URI.create("http://" + LOCALHOST + ":" + port + FleetPlatform.PREFIX + id))
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+            .header("Authorization", "Bearer " + FleetPlatform.KEY)
+            .header("Content-Type", "application/json")
+            .build();
+    try {
+      return client.send(r, HttpResponse.BodyHandlers.ofString()).statusCode();
+    } catch (IOException e) {
+      // The instance does not listen yet.
+      return 0;
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/dev/dandelionport/standin/fleet/FleetPlatform.java
@@ -0,0 +1,109 @@
+package dev.dandelionport.standin.fleet;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.QueryParams;
+import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+/** The users' platform on one loopback port: store, runners and advice. Thread-safe. */
+public final class FleetPlatform implements AutoCloseable {
+
+  /** API key of the only client account. */
+  public static final String KEY = "key-1";
+
+  /** Host and prefix of the only queue. */
+  public static final String HOST = "127.0.0.1";
+
+  /** Start of the paths of the only queue. */
+  public static final String PREFIX = "/jobs/";
+
+  private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor();
+  private final MetadataStore store = new MetadataStore();
+  private final RunnerHandler runners = new RunnerHandler(thread, System.currentTimeMillis());
+  private final StoreHandler handler = new StoreHandler(store, thread);
+  private final Server server;
+
+  /** Starts the platform with some runners and a configuration. */
+  public FleetPlatform(int runnerCount) {
+    server =
+        Server.builder()
+            .http(new InetSocketAddress("127.0.0.1", 0))
+            .service("prefix:/", (ctx, req) -> serve(ctx, req))
+            .requestTimeoutMillis(0)
+            .build();
+    server.start().join();
+    for (int i = 0; i < runnerCount; i++) {
+      String id = "i-" + i;
+      runners.add(id);
+      put("servers/" + id, entry(i));
+    }
+    put("op/config", configuration(1));
+  }
+
+  /** Returns the port that all services listen on. */
+  public int port() {
+    return server.activeLocalPort();
+  }
+
+  /** Writes a key as the operator or a runner would. */
+  public void put(String key, String value) {
+    String text = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
+    thread.submit(() -> store.apply(Map.of(key, text), Map.of(), List.of()));
+  }
+
+  private String entry(int number) {
+    return """
+        {"service":"svc","address":"127.0.0.1:%d","zone":"zone-%d","version":"v1","slots":8,\
+        "state":"ready","cold-remaining-ms":0,"capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},\
+        "labels":["a","r1-%d"],"clock-ms":1,"seq":1}"""
+        .formatted(port(), number % 3, number / 8);
+  }
+
+  /** Returns a configuration with one queue that needs advice and one client account. */
+  public static String configuration(long version) {
+    return """
+        {"version":%d,"routes":[{"name":"r-1","host":"%s","prefix":"%s","kind":"non_idempotent",\
+        "timeout-ms":3000,"target-duration-ms":250,"priority":0,"service":"svc",\
+        "max-attempts":3,"slack-factor":2,\
+        "advice":{"decide-ms":1,"period-ms":0.1,"valid-ms":2000},"public":false}],\
+        "services":[{"name":"svc","admission-check":false,"standby":false}],"limits":{},\
+        "tenants":[{"name":"account","api-keys":["%s"],"weight":100,\
+        "ceiling":{"cpu":0,"mem-mb":0,"gpu":0}}]}"""
+        .formatted(version, HOST, PREFIX, KEY);
+  }
+
+  private HttpResponse serve(ServiceRequestContext ctx, HttpRequest req) {
+    QueryParams q = QueryParams.fromQueryString(ctx.query());
+    return HttpResponse.of(req.aggregate().thenComposeAsync(r -> route(r, ctx.path(), q), thread));
+  }
+
+  private CompletableFuture<HttpResponse> route(
+      AggregatedHttpRequest r, String path, QueryParams q) {
+    Optional<CompletableFuture<Reply>> reply = handler.handle(r, path, q);
+    if (reply.isEmpty()) {
+      reply = runners.handle(r, path);
+    }
+    return reply
+        .orElseGet(() -> CompletableFuture.completedFuture(new Reply(404, "{}")))
+        .thenApply(x -> HttpResponse.of(HttpStatus.valueOf(x.status()), MediaType.JSON, x.body()));
+  }
+
+  @Override
+  public void close() {
+    server.stop().join();
+    thread.shutdownNow();
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/dev/dandelionport/standin/fleet/Reply.java
@@ -0,0 +1,4 @@
+package dev.dandelionport.standin.fleet;
+
+/** An HTTP answer with a JSON body. */
+record Reply(int status, String body) {}
--- /dev/null
+++ b/standin/src/main/java/dev/dandelionport/standin/fleet/RunnerHandler.java
@@ -0,0 +1,121 @@
+package dev.dandelionport.standin.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Speaks the calls of all runners and of the advice service, which allows every runner. */
+final class RunnerHandler {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String EXPECTED = "Dandelionport-Expected-Instance";
+  private static final long POLL_MILLIS = 5;
+
+  private final Map<String, FleetRunner> runners = new HashMap<>();
+  private final ScheduledExecutorService thread;
+  private final long born;
+
+  RunnerHandler(ScheduledExecutorService thread, long born) {
+    this.thread = thread;
+    this.born = born;
+  }
+
+  void add(String id) {
+    runners.put(id, new FleetRunner());
+  }
+
+  /** Answers a call; empty if the path is not a runner's or the advice service's. */
+  Optional<CompletableFuture<Reply>> handle(AggregatedHttpRequest r, String path) {
+    JsonNode n = parse(r);
+    if (path.equals("/advise")) {
+      return done(advise(n));
+    }
+    FleetRunner runner = runners.get(r.headers().get(EXPECTED, ""));
+    boolean known = path.equals("/run-start") || path.equals("/run-stop") || path.equals("/hold");
+    if (!known) {
+      return Optional.empty();
+    }
+    if (runner == null) {
+      return done(new Reply(421, "{}"));
+    }
+    if (runner.isFenced(n.path("fencing-token").asLong())) {
+      return done(refused("fence"));
+    }
+    String task = n.path("task").asText();
+    int run = n.path("run-id").asInt();
+    if (path.equals("/run-start")) {
+      Optional<String> why =
+          runner.start(task, run, n.path("spec").asText(), n.path("until-ms").asLong(), now());
+      return done(why.map(RunnerHandler::refused).orElseGet(() -> ok(clock())));
+    } else if (path.equals("/run-stop")) {
+      runner.stop(task, run, now());
+      return done(ok(clock()));
+    }
+    runner.hold(n.path("until-ms").asLong(), n.path("acked-through").asLong(), now());
+    CompletableFuture<Reply> reply = new CompletableFuture<>();
+    report(runner, now() + n.path("wait-ms").asLong(), reply);
+    return Optional.of(reply);
+  }
+
+  private static Optional<CompletableFuture<Reply>> done(Reply r) {
+    return Optional.of(CompletableFuture.completedFuture(r));
+  }
+
+  private void report(FleetRunner runner, long deadline, CompletableFuture<Reply> reply) {
+    runner.advance(now());
+    if (runner.ends().isEmpty() && now() < deadline) {
+      thread.schedule(() -> report(runner, deadline, reply), POLL_MILLIS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    ObjectNode n = clock().put("born", born);
+    ArrayNode running = n.putArray("running");
+    for (FleetRunner.Present p : runner.running()) {
+      running.addArray().add(p.task()).add(p.run()).add("").add(100).add(0);
+    }
+    ArrayNode ends = n.putArray("finished");
+    for (FleetRunner.End e : runner.ends()) {
+      ends.addArray().add(e.number()).add(e.task()).add(e.run()).add(e.how()).add("");
+    }
+    reply.complete(ok(n));
+  }
+
+  private static Reply advise(JsonNode n) {
+    ObjectNode answer = JSON.createObjectNode().put("valid-ms", 2_000);
+    ArrayNode allowed = answer.putArray("allowed");
+    n.path("workers").forEach(w -> allowed.addArray().add(w.asText()).add("ticket"));
+    return ok(answer);
+  }
+
+  private static JsonNode parse(AggregatedHttpRequest r) {
+    try {
+      return JSON.readTree(r.content().array());
+    } catch (IOException e) {
+      throw new IllegalArgumentException("malformed body", e);
+    }
+  }
+
+  private static long now() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  private static ObjectNode clock() {
+    return JSON.createObjectNode().put("clock-ms", now());
+  }
+
+  private static Reply ok(ObjectNode n) {
+    return new Reply(200, n.toString());
+  }
+
+  private static Reply refused(String reason) {
+    return new Reply(409, clock().put("reason", reason).toString());
+  }
+}
