--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -108,6 +108,14 @@
     }
   }
 
+  /** Reads the key, because the owner is silent and the watch may be, too. */
+  void verify() {
+    if (!claiming && !stopped && watch.isListed()) {
+      claiming = true;
+      check(0);
+    }
+  }
+
   /** Replaces an owner whose process has ended. */
   void replace(Owner former) {
     if (owner.filter(o -> o.revision() == former.revision()).isPresent()) {
@@ -194,8 +202,7 @@
       return;
     }
     if (e != null) {
-      claiming = true;
-      check(RETRY_MILLIS);
+      // Nothing is known; whoever finds the owner silent reads again.
       return;
     }
     Optional<Owner> found = Optional.empty();
--- a/core/src/main/java/dev/dandelionport/core/dispatch/Surroundings.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/Surroundings.java
@@ -22,7 +22,7 @@
   /** Wait of a watch of the configuration; bounds the age of what is known, in milliseconds. */
   private static final long OPERATOR_WAIT_MILLIS = 1_000;
 
-  private static final long RUNNER_WAIT_MILLIS = 5_000;
+  private static final long RUNNER_WAIT_MILLIS = 1_500;
 
   /**
    * Time after an outage of the store for which runners that it no longer lists are kept, in
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -26,11 +26,14 @@
   /** Interval at which the owner hears of this instance, in milliseconds. */
   private static final long BEAT_MILLIS = 300;
 
-  private static final long BEAT_TIMEOUT_MILLIS = 600;
+  private static final long BEAT_TIMEOUT_MILLIS = 400;
 
   /** Time without an answer of the owner after which this instance is not ready. */
   private static final long CONTACT_MILLIS = 1_500;
 
+  /** Time without an answer of the owner after which its key is read. */
+  private static final long SILENT_MILLIS = 800;
+
   /** Beats in a row that must find no process at the owner's address. */
   private static final int ENDED_BEATS = 2;
 
@@ -163,6 +166,9 @@
       }
       return;
     }
+    if (context.nowMillis() - contactMillis > SILENT_MILLIS) {
+      election.verify();
+    }
     Throwable cause = e instanceof CompletionException && e.getCause() != null ? e.getCause() : e;
     if (!(cause instanceof PeerException p) || !p.isEnded()) {
       endedBeats = 0;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Cell.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Cell.java
@@ -91,6 +91,8 @@
 
   /** Counts a run that may be under way on its runner and for its account. */
   void occupy(Run r) {
+    Queue q = queueOf(r.task.step);
+    r.urgent = q != null && q.priority() == 0;
     r.runner.add(r);
     running.merge(
         r.task.step.workflow.spec.account(), r.task.step.spec.size(), ResourceVector::plus);
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -20,9 +20,6 @@
   /** Gangs for which a pass keeps runners free of less urgent work. */
   private static final int MAX_RESERVING = 2;
 
-  /** One part in this many of a runner is kept free of work that is not of the first priority. */
-  private static final int HEADROOM_PARTS = 16;
-
   /** Ranks of steps: in time, late, beyond the account's weight, too late to be of use. */
   private static final int IN_TIME = 0;
 
@@ -44,6 +41,7 @@
   private final AdviceBook advice;
   private final GangPlacement gangs;
   private final Preemption preemption;
+  private final Headroom headroom;
 
   Placement(Cell cell, Runs runs, AdviceBook advice) {
     this.cell = cell;
@@ -51,6 +49,7 @@
     this.advice = advice;
     this.gangs = new GangPlacement(cell, runs, this);
     this.preemption = new Preemption(cell, runs);
+    this.headroom = new Headroom(cell);
   }
 
   /** Starts what fits, in order. */
@@ -59,6 +58,7 @@
     int reserving = 0;
     int looked = 0;
     advice.clear();
+    headroom.update();
     for (Step s : order()) {
       if (looked == MAX_STEPS) {
         break;
@@ -166,11 +166,7 @@
   int copies(Runner r, Step s, Queue q) {
     ResourceVector free = r.free();
     if (q.priority() > 0) {
-      ResourceVector c = r.info.capacity();
-      free =
-          free.minus(
-              new ResourceVector(
-                  0, 0, c.milliCores() / HEADROOM_PARTS, c.memoryMb() / HEADROOM_PARTS, 0));
+      free = free.minus(headroom.keptFree(r));
     }
     ResourceVector size = s.spec.reserved();
     long n = Integer.MAX_VALUE;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Run.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Run.java
@@ -41,6 +41,9 @@
   /** Room that it takes of its runner. */
   final ResourceVector reserved;
 
+  /** Whether it is of the first priority. */
+  boolean urgent;
+
   Phase phase = Phase.INTENDED;
   long intendedMillis;
 
--- a/core/src/main/java/dev/dandelionport/core/workflow/Runner.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Runner.java
@@ -32,6 +32,9 @@
 
   ResourceVector used = ResourceVector.ZERO;
 
+  /** Part of {@link #used} that is of the first priority. */
+  ResourceVector urgentUsed = ResourceVector.ZERO;
+
   Runner(RunnerDescription info) {
     this.info = info;
   }
@@ -47,12 +50,14 @@
   void add(Run r) {
     if (runs.add(r)) {
       used = used.plus(r.reserved);
+      urgentUsed = r.urgent ? urgentUsed.plus(r.reserved) : urgentUsed;
     }
   }
 
   void remove(Run r) {
     if (runs.remove(r)) {
       used = used.minus(r.reserved);
+      urgentUsed = r.urgent ? urgentUsed.minus(r.reserved) : urgentUsed;
     }
   }
 
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -23,7 +23,7 @@
 public final class WorkflowScheduler {
 
   /** Longest time for which a weight may be saved up, in seconds. */
-  private static final double BURST_SECONDS = 4;
+  private static final double BURST_SECONDS = 1;
 
   private final Cell cell;
   private final Runs runs;
