--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
@@ -19,7 +19,7 @@
  */
 final class OwnerRouter {
 
-  private static final long RETRY_MILLIS = 40;
+  private static final long RETRY_MILLIS = 80;
 
   /** Longest wait for one answer of the owner, in milliseconds; it may have been replaced. */
   private static final long TRY_MILLIS = 900;
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -189,7 +189,7 @@
   private Optional<CompletableFuture<WorkflowAnswer>> callHere(WorkflowCall c) {
     return shard.call(
         () ->
-            owner == null || !owner.isOpen()
+            owner == null
                 ? Optional.<CompletableFuture<WorkflowAnswer>>empty()
                 : Optional.of(owner.call(c)));
   }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -14,7 +14,9 @@
 import dev.dandelionport.core.workflow.WorkflowFigures;
 import dev.dandelionport.core.workflow.WorkflowRecord;
 import dev.dandelionport.core.workflow.WorkflowScheduler;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +38,18 @@
   /** Interval at which workflows that ended long ago are forgotten, in milliseconds. */
   private static final long FORGET_MILLIS = 5_000;
 
+  /** Most calls that wait for the workflows to be rebuilt. */
+  private static final int MAX_EARLY = 2_000;
+
+  /** Wait before they are answered, so that the runners are asked first, in milliseconds. */
+  private static final long EARLY_MILLIS = 30;
+
+  /** Calls among them that are answered at a time. */
+  private static final int EARLY_SLICE = 20;
+
+  /** A call that came before the workflows were rebuilt. */
+  private record Early(WorkflowCall call, CompletableFuture<WorkflowAnswer> answer) {}
+
   private final DispatchContext context;
   private final Shard shard;
   private final long revision;
@@ -45,6 +59,7 @@
   private final AdviceLanes lanes;
   private final CallerDesk desk;
   private final Map<String, RunnerLink> links = new HashMap<>();
+  private final Deque<Early> early = new ArrayDeque<>();
   private final long formerLapsedMillis;
   private final long claimedMillis;
   private WorkflowJournal journal;
@@ -145,6 +160,8 @@
           surroundings.runners().size(),
           "millis",
           context.nowMillis() - claimedMillis);
+      shard.afterwards(
+          () -> context.timer().schedule(EARLY_MILLIS, () -> shard.run(this::answerEarly)));
     }
     decided();
     links.values().forEach(RunnerLink::wake);
@@ -311,6 +328,8 @@
       journal.stop();
     }
     desk.close();
+    early.forEach(e -> e.answer().complete(WorkflowAnswer.of(WorkflowStatus.NOT_OWNER)));
+    early.clear();
   }
 
   private void advised(AdviceRequest ask, Map<String, String> tickets, long validMillis) {
@@ -339,13 +358,34 @@
     return journal == null || journal.isIdle();
   }
 
-  /** Answers a caller; completes once what it says is durable. Call it with the lock held. */
+  /**
+   * Answers a caller; completes once what it says is durable. Calls that come while the workflows
+   * are rebuilt wait for that. Call it with the lock held.
+   */
   CompletableFuture<WorkflowAnswer> call(WorkflowCall c) {
-    if (!isOpen()) {
+    if (isOpen()) {
+      now();
+      return desk.call(c, this::decided);
+    }
+    if (ended || early.size() >= MAX_EARLY) {
       return CompletableFuture.completedFuture(WorkflowAnswer.of(WorkflowStatus.NOT_OWNER));
     }
-    now();
-    return desk.call(c, this::decided);
+    Early e = new Early(c, new CompletableFuture<>());
+    early.add(e);
+    return e.answer();
+  }
+
+  /** Answers some of the calls that came early, then lets other work go on. */
+  private void answerEarly() {
+    for (int i = 0; i < EARLY_SLICE && !early.isEmpty(); i++) {
+      Early e = early.poll();
+      call(e.call())
+          .thenAccept(a -> shard.run(() -> shard.afterwards(() -> e.answer().complete(a))));
+    }
+    if (!early.isEmpty()) {
+      shard.afterwards(
+          () -> context.timer().schedule(PASS_MILLIS, () -> shard.run(this::answerEarly)));
+    }
   }
 
   WorkflowFigures figures() {
