--- a/core/src/main/java/dev/dandelionport/core/dispatch/DispatchContext.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchContext.java
@@ -7,9 +7,11 @@
 import dev.dandelionport.core.port.RunnerClient;
 import dev.dandelionport.core.port.SharedStore;
 import dev.dandelionport.core.port.Timer;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 
 /**
  * What the parts of an instance use.
@@ -22,7 +24,7 @@
  * @param directory decodes runners and configuration from the store
  * @param time clocks
  * @param timer runs actions later
- * @param settings times that the deployment sets
+ * @param currentSettings gives the times that the deployment sets
  * @param observer receives what happens, with fields by name
  */
 public record DispatchContext(
@@ -34,9 +36,14 @@
     Directory directory,
     TimeSource time,
     Timer timer,
-    DispatchSettings settings,
+    Supplier<DispatchSettings> currentSettings,
     BiConsumer<DispatchTopic, Map<String, Object>> observer) {
 
+  /** Returns the times that the deployment sets now. */
+  DispatchSettings settings() {
+    return currentSettings.get();
+  }
+
   /** Returns the steady clock in milliseconds. */
   long nowMillis() {
     return TimeUnit.NANOSECONDS.toMillis(time.monotonicNanos());
@@ -44,7 +51,7 @@
 
   /** Reports something that happened; fields alternate between name and value. */
   void report(DispatchTopic topic, Object... fields) {
-    Map<String, Object> map = new java.util.LinkedHashMap<>();
+    Map<String, Object> map = new LinkedHashMap<>();
     for (int i = 0; i + 1 < fields.length; i += 2) {
       map.put(fields[i].toString(), fields[i + 1]);
     }
--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -88,50 +88,78 @@
 
   /** Returns the runners to ask about, none if the answer could not help now. */
   private List<Runner> choose(Step s, Queue q) {
-    int needed = s.spec.gang() ? s.spec.tasks() : s.startable(cell.now).size();
-    needed = Math.max(1, needed);
+    int needed = s.spec.gang() ? s.spec.tasks() : Math.max(1, s.startable(cell.now).size());
     List<Runner> known = new ArrayList<>();
     List<Runner> unknown = new ArrayList<>();
     int ticketed = 0;
     int knownRoom = 0;
+    int allowedRoom = 0;
     int unknownRoom = 0;
     for (Runner r : cell.runners.values()) {
-      int room = placement.isUsable(r, s, q) ? placement.copies(r, s, q) : 0;
-      if (room == 0) {
+      if (!placement.isUsable(r, s, q)) {
         continue;
       }
+      int room = placement.copies(r, s, q);
+      boolean allowed = s.allowed.contains(r.id() + r.born);
+      allowedRoom += allowed ? placement.copiesWhenEmpty(r, s, q) : 0;
       if (placement.hasTicket(s, r)) {
         ticketed += room;
-      } else if (s.allowed.contains(r.id() + r.born)) {
+      } else if (allowed && room > 0) {
         known.add(r);
         knownRoom += room;
-      } else if (!s.denied.contains(r.id() + r.born)) {
+      } else if (!allowed
+          && !s.denied.contains(r.id() + r.born)
+          && (room > 0 || s.spec.gang() && placement.copiesWhenEmpty(r, s, q) > 0)) {
         unknown.add(r);
         unknownRoom += room;
       }
     }
-    double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
-    boolean hopeless = s.spec.gang() && ticketed + knownRoom + part * unknownRoom < needed;
-    if (ticketed >= needed || known.isEmpty() && unknown.isEmpty() || hopeless) {
+    if (ticketed >= needed) {
       return List.of();
     }
+    int missing = needed - ticketed - knownRoom;
+    if (s.spec.gang()) {
+      double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
+      if (missing > 0 && part * unknownRoom < missing) {
+        // It cannot start now; it only learns where it may run, so that room is collected there.
+        boolean knows = allowedRoom >= needed;
+        return knows ? List.of() : fresh(s, q, unknown, needed - allowedRoom, true);
+      }
+    }
+    List<Runner> named = new ArrayList<>(enough(s, q, known, needed - ticketed));
+    if (missing > 0 || !s.spec.gang() && ticketed + knownRoom < needed * SPARE) {
+      named.addAll(fresh(s, q, unknown, missing, false));
+    }
+    return named;
+  }
+
+  /** Returns the best of the runners that may run a step, with room for some tasks and a few. */
+  private List<Runner> enough(Step s, Queue q, List<Runner> known, int tasks) {
     known.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
-    unknown.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
     List<Runner> named = new ArrayList<>();
-    double room = ticketed;
+    double room = 0;
     for (Runner r : known) {
-      if (room < needed * SPARE && named.size() < MAX_NAMED) {
+      if (room < tasks * SPARE && named.size() < MAX_NAMED) {
         named.add(r);
         room += placement.copies(r, s, q);
       }
     }
-    int fresh = 0;
+    return named;
+  }
+
+  /** Returns runners of which enough are likely to be allowed for some tasks. */
+  private List<Runner> fresh(Step s, Queue q, List<Runner> unknown, int tasks, boolean whenEmpty) {
+    unknown.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
+    double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
+    List<Runner> named = new ArrayList<>();
+    double room = 0;
     for (Runner r : unknown) {
-      boolean more = room < needed * SPARE || !named.isEmpty() && fresh < MIN_NAMED;
-      if (more && named.size() < MAX_NAMED) {
+      boolean more = room < tasks * SPARE || named.size() < MIN_NAMED;
+      boolean useful = whenEmpty || placement.copies(r, s, q) > 0;
+      if (more && useful && named.size() < MAX_NAMED / 2) {
         named.add(r);
-        fresh++;
-        room += part * placement.copies(r, s, q);
+        int n = whenEmpty ? placement.copiesWhenEmpty(r, s, q) : placement.copies(r, s, q);
+        room += part * n;
       }
     }
     return named;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -6,10 +6,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** Chooses runners for the tasks of the steps whose turn has come. */
 final class Placement {
@@ -42,6 +40,7 @@
   private final GangPlacement gangs;
   private final Preemption preemption;
   private final Headroom headroom;
+  private final GangReservations reservations;
 
   Placement(Cell cell, Runs runs, AdviceBook advice) {
     this.cell = cell;
@@ -50,15 +49,15 @@
     this.gangs = new GangPlacement(cell, runs, this);
     this.preemption = new Preemption(cell, runs);
     this.headroom = new Headroom(cell);
+    this.reservations = new GangReservations(cell);
   }
 
   /** Starts what fits, in order. */
   void pass() {
-    Set<Runner> reserved = new HashSet<>();
-    int reserving = 0;
     int looked = 0;
     advice.clear();
     headroom.update();
+    reservations.update(this);
     for (Step s : order()) {
       if (looked == MAX_STEPS) {
         break;
@@ -73,7 +72,7 @@
         continue;
       }
       looked++;
-      List<Runner> candidates = candidates(s, q, reserved);
+      List<Runner> candidates = candidates(s, q);
       if (s.spec.gang()) {
         gangs.place(s, q, tasks, candidates);
       } else {
@@ -87,10 +86,8 @@
             preemption.makeRoom(s, q, candidates);
           }
         }
-        if (s.spec.gang() && !ceiling && s.gangRun == 0 && reserving < MAX_RESERVING) {
-          reserving++;
-          reserved.addAll(candidates);
-          reserveAllowed(s, reserved);
+        if (s.spec.gang() && !ceiling && s.gangRun == 0 && rank(s) <= LATE) {
+          reservations.hold(s, q, this);
         }
       }
     }
@@ -123,22 +120,12 @@
     return cell.now - s.workflow.acceptedMillis > WORTHLESS_FACTOR * allowed ? WORTHLESS : LATE;
   }
 
-  /** Keeps the runners that may run a gang free while tickets for them are asked for. */
-  private void reserveAllowed(Step s, Set<Runner> reserved) {
-    if (s.asking > 0) {
-      for (Runner r : cell.runners.values()) {
-        if (s.allowed.contains(r.id() + r.born)) {
-          reserved.add(r);
-        }
-      }
-    }
-  }
-
   /** Returns the runners that may run a step now, whether or not there is room. */
-  private List<Runner> candidates(Step s, Queue q, Set<Runner> reserved) {
+  private List<Runner> candidates(Step s, Queue q) {
     List<Runner> list = new ArrayList<>();
     for (Runner r : cell.runners.values()) {
-      if (!reserved.contains(r) && isUsable(r, s, q) && (q.advice().isEmpty() || hasTicket(s, r))) {
+      boolean held = q.priority() > 0 && reservations.isHeldFromOthers(r, s);
+      if (!held && isUsable(r, s, q) && (q.advice().isEmpty() || hasTicket(s, r))) {
         list.add(r);
       }
     }
@@ -162,9 +149,18 @@
         && r.health.accepts(cell.now);
   }
 
+  /** Returns how many tasks of a step a runner has room for once it runs nothing else. */
+  int copiesWhenEmpty(Runner r, Step s, Queue q) {
+    return copies(r, s, q, r.info.capacity().minus(r.urgentUsed));
+  }
+
   /** Returns how many more tasks of a step a runner has room for. */
   int copies(Runner r, Step s, Queue q) {
-    ResourceVector free = r.free();
+    return copies(r, s, q, r.free());
+  }
+
+  private int copies(Runner r, Step s, Queue q, ResourceVector room) {
+    ResourceVector free = room;
     if (q.priority() > 0) {
       free = free.minus(headroom.keptFree(r));
     }
--- a/node/src/main/java/dev/dandelionport/node/process/LogEvent.java
+++ b/node/src/main/java/dev/dandelionport/node/process/LogEvent.java
@@ -14,6 +14,8 @@
   INSTANCE_STOPPED(1004, Level.INFO, "instance stopped"),
   STOP_FAILED(1005, Level.ERROR, "graceful stop failed"),
   ACTION_FAILED(1006, Level.ERROR, "a scheduled action failed", 1_000),
+  SETTINGS_CHANGED(1007, Level.INFO, "settings were changed"),
+  SETTINGS_UNUSABLE(1008, Level.WARN, "changed settings cannot be used; the former ones stay"),
   CELL_JOINED(2001, Level.INFO, "instance joined the cell"),
   LEASE_LOST(2002, Level.WARN, "the store no longer knows the instance's lease"),
   ASSIGNMENT_CHANGED(2003, Level.INFO, "assignment table changed"),
