--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -93,7 +93,6 @@
     List<Runner> unknown = new ArrayList<>();
     int ticketed = 0;
     int knownRoom = 0;
-    int allowedRoom = 0;
     int unknownRoom = 0;
     for (Runner r : cell.runners.values()) {
       if (!placement.isUsable(r, s, q)) {
@@ -101,15 +100,12 @@
       }
       int room = placement.copies(r, s, q);
       boolean allowed = s.allowed.contains(r.id() + r.born);
-      allowedRoom += allowed ? placement.copiesWhenEmpty(r, s, q) : 0;
       if (placement.hasTicket(s, r)) {
         ticketed += room;
       } else if (allowed && room > 0) {
         known.add(r);
         knownRoom += room;
-      } else if (!allowed
-          && !s.denied.contains(r.id() + r.born)
-          && (room > 0 || s.spec.gang() && placement.copiesWhenEmpty(r, s, q) > 0)) {
+      } else if (!allowed && room > 0 && !s.denied.contains(r.id() + r.born)) {
         unknown.add(r);
         unknownRoom += room;
       }
@@ -118,17 +114,13 @@
       return List.of();
     }
     int missing = needed - ticketed - knownRoom;
-    if (s.spec.gang()) {
-      double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
-      if (missing > 0 && part * unknownRoom < missing) {
-        // It cannot start now; it only learns where it may run, so that room is collected there.
-        boolean knows = allowedRoom >= needed;
-        return knows ? List.of() : fresh(s, q, unknown, needed - allowedRoom, true);
-      }
+    double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
+    if (s.spec.gang() && missing > 0 && part * unknownRoom < missing) {
+      return List.of();
     }
     List<Runner> named = new ArrayList<>(enough(s, q, known, needed - ticketed));
     if (missing > 0 || !s.spec.gang() && ticketed + knownRoom < needed * SPARE) {
-      named.addAll(fresh(s, q, unknown, missing, false));
+      named.addAll(fresh(s, q, unknown, missing));
     }
     return named;
   }
@@ -148,18 +140,16 @@
   }
 
   /** Returns runners of which enough are likely to be allowed for some tasks. */
-  private List<Runner> fresh(Step s, Queue q, List<Runner> unknown, int tasks, boolean whenEmpty) {
+  private List<Runner> fresh(Step s, Queue q, List<Runner> unknown, int tasks) {
     unknown.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
     double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
     List<Runner> named = new ArrayList<>();
     double room = 0;
     for (Runner r : unknown) {
       boolean more = room < tasks * SPARE || named.size() < MIN_NAMED;
-      boolean useful = whenEmpty || placement.copies(r, s, q) > 0;
-      if (more && useful && named.size() < MAX_NAMED / 2) {
+      if (more && named.size() < MAX_NAMED / 2) {
         named.add(r);
-        int n = whenEmpty ? placement.copiesWhenEmpty(r, s, q) : placement.copies(r, s, q);
-        room += part * n;
+        room += part * placement.copies(r, s, q);
       }
     }
     return named;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -40,7 +40,6 @@
   private final GangPlacement gangs;
   private final Preemption preemption;
   private final Headroom headroom;
-  private final GangReservations reservations;
 
   Placement(Cell cell, Runs runs, AdviceBook advice) {
     this.cell = cell;
@@ -49,7 +48,6 @@
     this.gangs = new GangPlacement(cell, runs, this);
     this.preemption = new Preemption(cell, runs);
     this.headroom = new Headroom(cell);
-    this.reservations = new GangReservations(cell);
   }
 
   /** Starts what fits, in order. */
@@ -57,7 +55,6 @@
     int looked = 0;
     advice.clear();
     headroom.update();
-    reservations.update(this);
     for (Step s : order()) {
       if (looked == MAX_STEPS) {
         break;
@@ -86,9 +83,6 @@
             preemption.makeRoom(s, q, candidates);
           }
         }
-        if (s.spec.gang() && !ceiling && s.gangRun == 0 && rank(s) <= LATE) {
-          reservations.hold(s, q, this);
-        }
       }
     }
   }
@@ -124,8 +118,7 @@
   private List<Runner> candidates(Step s, Queue q) {
     List<Runner> list = new ArrayList<>();
     for (Runner r : cell.runners.values()) {
-      boolean held = q.priority() > 0 && reservations.isHeldFromOthers(r, s);
-      if (!held && isUsable(r, s, q) && (q.advice().isEmpty() || hasTicket(s, r))) {
+      if (isUsable(r, s, q) && (q.advice().isEmpty() || hasTicket(s, r))) {
         list.add(r);
       }
     }
@@ -149,18 +142,9 @@
         && r.health.accepts(cell.now);
   }
 
-  /** Returns how many tasks of a step a runner has room for once it runs nothing else. */
-  int copiesWhenEmpty(Runner r, Step s, Queue q) {
-    return copies(r, s, q, r.info.capacity().minus(r.urgentUsed));
-  }
-
   /** Returns how many more tasks of a step a runner has room for. */
   int copies(Runner r, Step s, Queue q) {
-    return copies(r, s, q, r.free());
-  }
-
-  private int copies(Runner r, Step s, Queue q, ResourceVector room) {
-    ResourceVector free = room;
+    ResourceVector free = r.free();
     if (q.priority() > 0) {
       free = free.minus(headroom.keptFree(r));
     }
