--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
@@ -0,0 +1,252 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.port.RunnerClient;
+import dev.dandelionport.core.port.WorkerException;
+import dev.dandelionport.core.testing.VirtualTime;
+import dev.dandelionport.core.workflow.RunEnd;
+import dev.dandelionport.core.workflow.RunnerReport;
+import dev.dandelionport.core.workflow.StartOrder;
+import dev.dandelionport.core.workflow.StartResult;
+import dev.dandelionport.core.workflow.TaskKey;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Runners in virtual time. Collects what breaks a promise instead of failing at once. */
+final class FakeRunners {
+
+  /** Most tasks that a runner has room for. */
+  static final int ROOM = 4;
+
+  private static final long RUN_MILLIS = 400;
+  private static final long MAX_HOLD_MILLIS = 6_000;
+
+  private record Present(int run, long endsMillis) {}
+
+  private static final class State {
+    final Map<TaskKey, Present> running = new LinkedHashMap<>();
+    final Map<TaskKey, Integer> barred = new HashMap<>();
+    final List<RunnerReport.End> ends = new ArrayList<>();
+    long born = 1;
+    long token;
+    long untilMillis;
+    long lastEnd;
+  }
+
+  private final VirtualTime time;
+  private final Map<String, State> runners = new HashMap<>();
+  private final Set<TaskKey> done = new HashSet<>();
+  final List<String> broken = new ArrayList<>();
+  final Set<String> cut = new HashSet<>();
+  double latePart;
+  int starts;
+
+  FakeRunners(VirtualTime time, int count) {
+    this.time = time;
+    for (int i = 0; i < count; i++) {
+      runners.put("r" + i, new State());
+    }
+  }
+
+  /** Ends everything on a runner and starts a new life of it. */
+  void crash(String id) {
+    State s = runners.get(id);
+    s.running.clear();
+    s.barred.clear();
+    s.ends.clear();
+    s.born++;
+    s.token = 0;
+    s.untilMillis = 0;
+    s.lastEnd = 0;
+  }
+
+  private void advance(State s) {
+    long now = time.nowMillis();
+    for (TaskKey t : List.copyOf(s.running.keySet())) {
+      Present p = s.running.get(t);
+      if (p.endsMillis() <= Math.min(now, s.untilMillis)) {
+        end(s, t, p.run(), RunEnd.DONE);
+      } else if (s.untilMillis <= now) {
+        end(s, t, p.run(), RunEnd.LAPSED);
+      }
+    }
+  }
+
+  private void end(State s, TaskKey t, int run, RunEnd how) {
+    s.running.remove(t);
+    s.barred.merge(t, run, Math::max);
+    s.ends.add(new RunnerReport.End(++s.lastEnd, t, run, how, ""));
+  }
+
+  private StartResult start(String id, StartOrder o, long until, long token) {
+    State s = runners.get(id);
+    runners.values().forEach(this::advance);
+    if (token < s.token) {
+      return StartResult.FENCED;
+    }
+    s.token = token;
+    s.untilMillis = Math.max(s.untilMillis, Math.min(until, time.nowMillis() + MAX_HOLD_MILLIS));
+    Present p = s.running.get(o.task());
+    if (p != null && p.run() == o.run()) {
+      return StartResult.PRESENT;
+    }
+    if (o.run() <= s.barred.getOrDefault(o.task(), 0) || p != null) {
+      return StartResult.OLD;
+    }
+    if (until <= time.nowMillis()) {
+      return StartResult.LATE;
+    }
+    starts++;
+    check(id, o);
+    s.running.put(o.task(), new Present(o.run(), time.nowMillis() + RUN_MILLIS));
+    return StartResult.PRESENT;
+  }
+
+  private void check(String id, StartOrder o) {
+    String what = time.nowMillis() + " " + o.task() + " run " + o.run() + " on " + id;
+    runners.forEach(
+        (other, s) -> {
+          if (s.running.containsKey(o.task())) {
+            broken.add(what + ": runs on " + other + " too");
+          }
+        });
+    if (done.contains(o.task())) {
+      broken.add(what + ": its end as done was acknowledged");
+    }
+    if (runners.get(id).running.size() >= ROOM) {
+      broken.add(what + ": no room");
+    }
+  }
+
+  /** Returns the runners as one caller sees them. */
+  RunnerClient as(String caller, Consumer<Runnable> process) {
+    return new RunnerClient() {
+      private <T> CompletableFuture<T> call(
+          String id, boolean order, long timeout, Supplier<T> action) {
+        CompletableFuture<T> f = new CompletableFuture<>();
+        boolean late = order && time.random().nextDouble() < latePart;
+        Runnable noAnswer =
+            () -> process.accept(() -> f.completeExceptionally(new WorkerException("no", null)));
+        if (cut.contains(id) || cut.contains(caller + ">" + id)) {
+          time.afterMillis(timeout, noAnswer);
+        } else if (late) {
+          // What waits inside a runner ends with that life of it.
+          State s = runners.get(id);
+          long life = s.born;
+          time.afterMillis(
+              2_000 + time.random().nextInt(5_000),
+              () -> {
+                if (s.born == life) {
+                  action.get();
+                }
+              });
+          time.afterMillis(timeout, noAnswer);
+        } else {
+          time.afterNanos(
+              time.latencyNanos(3),
+              () -> {
+                T result = action.get();
+                time.afterNanos(
+                    time.latencyNanos(3), () -> process.accept(() -> f.complete(result)));
+              });
+        }
+        return f;
+      }
+
+      @Override
+      public CompletableFuture<StartAnswer> start(
+          Address to, StartOrder order, long until, long token, long timeout) {
+        return call(
+            to.runner(),
+            true,
+            timeout,
+            () ->
+                new StartAnswer(
+                    FakeRunners.this.start(to.runner(), order, until, token), time.nowMillis()));
+      }
+
+      @Override
+      public CompletableFuture<Boolean> stop(
+          Address to, TaskKey task, int run, long token, long timeout) {
+        return call(
+            to.runner(),
+            true,
+            timeout,
+            () -> {
+              State s = runners.get(to.runner());
+              advance(s);
+              if (token < s.token) {
+                return false;
+              }
+              s.token = token;
+              s.barred.merge(task, run, Math::max);
+              Present p = s.running.get(task);
+              if (p != null && p.run() <= run) {
+                end(s, task, p.run(), RunEnd.STOPPED);
+              }
+              return true;
+            });
+      }
+
+      @Override
+      public CompletableFuture<HoldAnswer> hold(
+          Address to, long token, long acked, long until, long wait, long timeout) {
+        CompletableFuture<HoldAnswer> f = new CompletableFuture<>();
+        long deadline = time.nowMillis() + wait;
+        call(to.runner(), false, timeout, () -> extend(to.runner(), token, acked, until))
+            .whenComplete(
+                (fenced, e) -> {
+                  if (e != null) {
+                    f.completeExceptionally(e);
+                  } else if (fenced) {
+                    f.complete(new HoldAnswer(true, null));
+                  } else {
+                    look(to.runner(), deadline, f);
+                  }
+                });
+        return f;
+      }
+
+      private void look(String id, long deadline, CompletableFuture<HoldAnswer> f) {
+        State s = runners.get(id);
+        advance(s);
+        if (s.ends.isEmpty() && time.nowMillis() < deadline) {
+          time.afterMillis(10, () -> look(id, deadline, f));
+          return;
+        }
+        List<RunnerReport.Running> running = new ArrayList<>();
+        s.running.forEach((t, p) -> running.add(new RunnerReport.Running(t, p.run(), "", 100, 1)));
+        RunnerReport r = new RunnerReport(s.born, time.nowMillis(), running, s.ends);
+        process.accept(() -> f.complete(new HoldAnswer(false, r)));
+      }
+    };
+  }
+
+  private boolean extend(String id, long token, long acked, long until) {
+    State s = runners.get(id);
+    advance(s);
+    if (token < s.token) {
+      return true;
+    }
+    s.token = token;
+    if (until != RunnerClient.NO_TIME) {
+      s.untilMillis = Math.max(s.untilMillis, Math.min(until, time.nowMillis() + MAX_HOLD_MILLIS));
+    }
+    for (RunnerReport.End e : List.copyOf(s.ends)) {
+      if (e.number() <= acked) {
+        s.ends.remove(e);
+        if (e.how() == RunEnd.DONE) {
+          done.add(e.task());
+        }
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -0,0 +1,196 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.common.InstanceId;
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.message.PeerMessage;
+import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
+import dev.dandelionport.core.message.PeerMessage.WorkflowCall;
+import dev.dandelionport.core.message.WorkflowCallKind;
+import dev.dandelionport.core.port.AdviceClient;
+import dev.dandelionport.core.port.InstanceInfo;
+import dev.dandelionport.core.port.PeerException;
+import dev.dandelionport.core.port.SharedStore.Entry;
+import dev.dandelionport.core.testing.FakeProcess;
+import dev.dandelionport.core.testing.VirtualTime;
+import dev.dandelionport.core.workflow.ClusterPolicy;
+import dev.dandelionport.core.workflow.RunnerDescription;
+import dev.dandelionport.core.workflow.StepSpec;
+import dev.dandelionport.core.workflow.WorkflowCodec;
+import dev.dandelionport.core.workflow.WorkflowLimits;
+import dev.dandelionport.core.workflow.WorkflowSpec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+/** Instances, store and runners in virtual time. */
+final class WorkflowCluster {
+
+  private static final int RUNNERS = 6;
+
+  /** One process of an instance. */
+  final class Node {
+    final String name;
+    final FakeProcess process = new FakeProcess(time);
+    final WorkflowInstance instance;
+    final InstanceInfo info;
+
+    Node(String name, int life) {
+      this.name = name;
+      info = new InstanceInfo(new InstanceId(name + "-" + life), "region", "fd", name, 1);
+      instance =
+          new WorkflowInstance(
+              new DispatchContext(
+                  info,
+                  store.as(name, process::run),
+                  runners.as(name, process::run),
+                  (step, ids, timeout) ->
+                      CompletableFuture.completedFuture(new AdviceClient.Advice(Map.of(), 1)),
+                  (peer, m, timeout) -> request(this, peer, m, timeout),
+                  new PlainDirectory(),
+                  process,
+                  process,
+                  () ->
+                      new DispatchSettings(
+                          1_000, 5_000, 3_500, new WorkflowLimits(3_000, 200, 3, 2_000, 600_000)),
+                  (t, f) -> {}));
+      instance.start();
+    }
+  }
+
+  /** Entries whose keys say all. */
+  private static final class PlainDirectory implements Directory {
+    @Override
+    public String runnerPrefix() {
+      return "runners/";
+    }
+
+    @Override
+    public String operatorPrefix() {
+      return "op/";
+    }
+
+    @Override
+    public Optional<RunnerDescription> runner(Entry e) {
+      String id = e.key().substring("runners/".length());
+      return Optional.of(
+          new RunnerDescription(
+              id,
+              0,
+              "svc",
+              id,
+              "fd",
+              new ResourceVector(0, 0, 1_000L * FakeRunners.ROOM, 1_000, 0),
+              List.of("rack"),
+              false));
+    }
+
+    @Override
+    public Optional<ClusterPolicy> policy(Entry e) {
+      ClusterPolicy.Queue q =
+          new ClusterPolicy.Queue(
+              "q", "h", "/q/", 3_000, 250, 0, "svc", 3, 2, Optional.empty(), true);
+      return Optional.of(new ClusterPolicy(e.revision(), Map.of("q", q), Map.of(), Map.of()));
+    }
+
+    @Override
+    public Optional<String> closedDomain(Entry e) {
+      return Optional.empty();
+    }
+  }
+
+  final VirtualTime time;
+  final FakeSharedStore store;
+  final FakeRunners runners;
+  final Map<String, Node> nodes = new HashMap<>();
+  final java.util.Set<String> cutPeers = new java.util.HashSet<>();
+  private int lives;
+
+  WorkflowCluster(long seed, int count) {
+    time = new VirtualTime(seed);
+    store = new FakeSharedStore(time);
+    runners = new FakeRunners(time, RUNNERS);
+    for (int i = 0; i < RUNNERS; i++) {
+      store.put("runners/r" + i, "");
+    }
+    store.put("op/config", "");
+    for (int i = 0; i < count; i++) {
+      start("n" + i);
+    }
+  }
+
+  void start(String name) {
+    nodes.put(name, new Node(name, ++lives));
+  }
+
+  void kill(String name) {
+    nodes.remove(name).process.kill();
+  }
+
+  Optional<Node> owner() {
+    return nodes.values().stream().filter(n -> n.instance.isOwner()).findFirst();
+  }
+
+  private CompletableFuture<PeerMessage> request(
+      Node from, InstanceInfo peer, PeerMessage m, long timeout) {
+    CompletableFuture<PeerMessage> f = new CompletableFuture<>();
+    Function<PeerException, Runnable> fail =
+        e -> () -> from.process.run(() -> f.completeExceptionally(e));
+    if (cutPeers.contains(from.name) || cutPeers.contains(peer.host())) {
+      time.afterMillis(timeout, fail.apply(new PeerException("silent", true, null)));
+      return f;
+    }
+    time.afterNanos(
+        time.latencyNanos(2),
+        () -> {
+          Node to = nodes.get(peer.host());
+          if (to == null || !to.info.equals(peer)) {
+            time.afterMillis(1, fail.apply(PeerException.ended("nobody listens", null)));
+            return;
+          }
+          to.process.run(
+              () ->
+                  to.instance
+                      .receive(m)
+                      .whenComplete(
+                          (a, e) ->
+                              time.afterNanos(
+                                  time.latencyNanos(2),
+                                  () -> from.process.run(() -> f.complete(a)))));
+        });
+    time.afterMillis(timeout, fail.apply(new PeerException("no answer", true, null)));
+    return f;
+  }
+
+  /** Submits a workflow through an instance. */
+  CompletableFuture<WorkflowAnswer> submit(Node at, String id, StepSpec... steps) {
+    WorkflowSpec spec =
+        new WorkflowSpec(
+            "",
+            "",
+            "",
+            "p",
+            List.of(steps),
+            dev.dandelionport.core.workflow.Recurrence.ONCE,
+            false);
+    return call(at, WorkflowCallKind.SUBMIT, id, WorkflowCodec.encodeSpec(spec));
+  }
+
+  CompletableFuture<WorkflowAnswer> read(Node at, String id) {
+    return call(at, WorkflowCallKind.READ, id, new byte[0]);
+  }
+
+  private CompletableFuture<WorkflowAnswer> call(
+      Node at, WorkflowCallKind kind, String id, byte[] body) {
+    long deadline = java.util.concurrent.TimeUnit.NANOSECONDS.toMillis(at.process.monotonicNanos());
+    return at.instance.call(new WorkflowCall(kind, "h", "/q/" + id, "", body), deadline + 3_000);
+  }
+
+  Node any() {
+    List<String> names = new ArrayList<>(new java.util.TreeSet<>(nodes.keySet()));
+    return nodes.get(names.get(time.random().nextInt(names.size())));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -0,0 +1,245 @@
+package dev.dandelionport.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
+import dev.dandelionport.core.message.WorkflowStatus;
+import dev.dandelionport.core.workflow.StepSpec;
+import dev.dandelionport.core.workflow.WorkflowState;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class WorkflowInstanceTest {
+
+  /** Seeds that run by default; {@code -Ddispatch.seeds=N} runs more by hand. */
+  private static LongStream seeds() {
+    return LongStream.rangeClosed(1, Long.getLong("dispatch.seeds", 20));
+  }
+
+  private static StepSpec step(int tasks, Integer... after) {
+    return new StepSpec(
+        tasks,
+        new ResourceVector(0, 0, 1_000, 10, 0),
+        400,
+        List.of(after),
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        false,
+        "",
+        0,
+        0);
+  }
+
+  private static StepSpec gang(int tasks) {
+    return new StepSpec(
+        tasks,
+        new ResourceVector(0, 0, 1_000, 10, 0),
+        400,
+        List.of(),
+        false,
+        true,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        false,
+        "",
+        0,
+        0);
+  }
+
+  private static WorkflowAnswer await(WorkflowCluster c, CompletableFuture<WorkflowAnswer> f) {
+    assertThat(c.time.runUntil(f::isDone, 10_000)).isTrue();
+    return f.join();
+  }
+
+  private static boolean completed(WorkflowCluster c, String id) {
+    return await(c, c.read(c.any(), id)).state() == WorkflowState.COMPLETED;
+  }
+
+  // Guards against a request that only the owner can answer.
+  @Test
+  void anyInstanceTakesRequestsToTheOwner() {
+    WorkflowCluster c = new WorkflowCluster(1, 3);
+    c.time.runFor(2_000);
+    for (WorkflowCluster.Node n : c.nodes.values()) {
+      String id = "w-" + n.name;
+      assertThat(await(c, c.submit(n, id, step(2), step(1, 0))).status())
+          .isEqualTo(WorkflowStatus.OK);
+      c.time.runFor(3_000);
+      assertThat(completed(c, id)).isTrue();
+    }
+    assertThat(c.runners.broken).isEmpty();
+  }
+
+  // Guards against a takeover that waits for the owner's lease although its process has ended.
+  @Test
+  void ownerWhoseProcessHasEndedIsReplacedBeforeItsLeaseEnds() {
+    WorkflowCluster c = new WorkflowCluster(2, 3);
+    c.time.runFor(2_000);
+    String former = c.owner().orElseThrow().name;
+    c.kill(former);
+    assertThat(c.time.runUntil(() -> c.owner().isPresent(), 900)).isTrue();
+  }
+
+  // With a silent store the watch of the owner's key hung for seconds, and nobody took over from an
+  // owner that had lost power.
+  @Test
+  void silentOwnerIsReplacedSoonAfterItsLeaseEnded() {
+    WorkflowCluster c = new WorkflowCluster(3, 3);
+    c.time.runFor(2_000);
+    WorkflowCluster.Node former = c.owner().orElseThrow();
+    c.cutPeers.add(former.name);
+    c.store.refused.add(former.name);
+    former.process.pause();
+    assertThat(c.time.runUntil(() -> c.owner().filter(o -> o != former).isPresent(), 2_500))
+        .isTrue();
+  }
+
+  // Guards against a planned stop that leaves the workflows without an owner.
+  @Test
+  void handOverMovesTheWorkflowsAtOnce() {
+    WorkflowCluster c = new WorkflowCluster(4, 3);
+    c.time.runFor(2_000);
+    WorkflowCluster.Node former = c.owner().orElseThrow();
+    assertThat(await(c, c.submit(former, "w", step(4))).status()).isEqualTo(WorkflowStatus.OK);
+    c.time.runFor(100);
+    former.instance.handOver();
+    assertThat(c.time.runUntil(() -> c.owner().filter(o -> o != former).isPresent(), 500)).isTrue();
+    c.time.runFor(2_000);
+    assertThat(completed(c, "w")).isTrue();
+    assertThat(c.runners.broken).isEmpty();
+  }
+
+  // Guards against an owner that the store turns away while others take over from it.
+  @Test
+  void ownerWithoutTheStoreIsReplacedAndNothingRunsTwice() {
+    WorkflowCluster c = new WorkflowCluster(5, 3);
+    c.time.runFor(2_000);
+    WorkflowCluster.Node former = c.owner().orElseThrow();
+    assertThat(await(c, c.submit(former, "w", step(20))).status()).isEqualTo(WorkflowStatus.OK);
+    c.store.refused.add(former.name);
+    assertThat(
+            c.time.runUntil(
+                () -> c.nodes.values().stream().anyMatch(n -> n != former && n.instance.isOwner()),
+                4_000))
+        .isTrue();
+    c.time.runFor(8_000);
+    c.store.refused.clear();
+    c.time.runFor(2_000);
+    assertThat(completed(c, "w")).isTrue();
+    assertThat(c.runners.broken).isEmpty();
+  }
+
+  // Guards against every combination of faults that breaks a promise: a task in two places, one
+  // that starts after its acknowledged end, a runner over its room, a lost workflow.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void promisesHoldUnderRandomFaults(long seed) {
+    WorkflowCluster c = new WorkflowCluster(seed, 4);
+    c.time.runFor(2_000);
+    Random random = new Random(seed);
+    Map<String, CompletableFuture<WorkflowAnswer>> answers = new HashMap<>();
+    for (int i = 0; i < 400; i++) {
+      String id = "w" + i / 2;
+      if (i % 2 == 0) {
+        StepSpec[] steps =
+            random.nextInt(3) == 0
+                ? new StepSpec[] {gang(3)}
+                : new StepSpec[] {step(1 + random.nextInt(3)), step(1, 0)};
+        answers.put(id, c.submit(c.any(), id, steps));
+      }
+      fault(c, random);
+      c.time.runFor(50 + random.nextInt(100));
+    }
+    calm(c);
+    c.time.runFor(60_000);
+    Set<String> open = new TreeSet<>();
+    List<String> accepted = new ArrayList<>();
+    answers.forEach(
+        (id, f) -> {
+          if (f.isDone() && f.join().status() == WorkflowStatus.OK) {
+            accepted.add(id);
+          }
+        });
+    for (String id : accepted) {
+      if (!completed(c, id)) {
+        open.add(id);
+      }
+    }
+    assertThat(c.runners.broken).isEmpty();
+    assertThat(open).isEmpty();
+    assertThat(accepted).isNotEmpty();
+  }
+
+  private static void fault(WorkflowCluster c, Random random) {
+    List<String> names = new ArrayList<>(new TreeSet<>(c.nodes.keySet()));
+    String name = names.get(random.nextInt(names.size()));
+    String runner = "r" + random.nextInt(6);
+    switch (random.nextInt(40)) {
+      case 0 -> {
+        c.kill(name);
+        c.time.afterMillis(1_000, () -> c.start(name));
+      }
+      case 1 -> {
+        WorkflowCluster.Node n = c.nodes.get(name);
+        n.process.pause();
+        c.time.afterMillis(500 + random.nextInt(3_000), n.process::resume);
+      }
+      case 2 -> {
+        c.store.refused.add(name);
+        c.time.afterMillis(3_000, () -> c.store.refused.remove(name));
+      }
+      case 3 -> {
+        c.cutPeers.add(name);
+        c.time.afterMillis(2_000, () -> c.cutPeers.remove(name));
+      }
+      case 4 -> {
+        c.runners.cut.add(runner);
+        c.time.afterMillis(4_000, () -> c.runners.cut.remove(runner));
+      }
+      case 5 -> {
+        String link = name + ">" + runner;
+        c.runners.cut.add(link);
+        c.time.afterMillis(4_000, () -> c.runners.cut.remove(link));
+      }
+      case 6 -> c.runners.latePart = random.nextDouble() * 0.3;
+      case 7 -> c.runners.latePart = 0;
+      case 8 -> c.store.lostPart = random.nextDouble() * 0.4;
+      case 9 -> c.store.lostPart = 0;
+      case 10 -> c.store.compact();
+      case 11 -> c.runners.crash(runner);
+      default -> {
+        // Most steps bring no new fault.
+      }
+    }
+  }
+
+  private static void calm(WorkflowCluster c) {
+    c.time.runFor(6_000);
+    c.runners.latePart = 0;
+    c.store.lostPart = 0;
+    c.store.refused.clear();
+    c.cutPeers.clear();
+    c.runners.cut.clear();
+  }
+}
