Acknowledge ends only to the life of a runner that listed them

Change: acknowledgements go out at once, only while the latest report is at most 300 ms old, and are named once; answers of an earlier life are ignored.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -35,6 +35,9 @@
   /** Time for which ends wait for the journal before leases are extended all the same. */
   private static final long UNACKED_MILLIS = 1_000;
 
+  /** Age of a report from which another life of the runner may have begun, in milliseconds. */
+  private static final long FRESH_MILLIS = 300;
+
   /** What the link needs of its owner. */
   interface Host {
     WorkflowScheduler scheduler();
@@ -73,10 +76,17 @@
   private long lastEnd;
   private long ackedEnd;
 
+  /**
+   * Whether the runner may not have heard of {@link #ackedEnd}. The number is named no longer than
+   * needed, because another life of the runner would take it for its own ends.
+   */
+  private boolean ackUnheard;
+
   /** Whether ends were listed whose records are not durable yet. */
   private boolean endsPending;
 
   private long notBeforeMillis;
+  private long reportedMillis;
   private long lastSentMillis;
   private int failures;
 
@@ -126,11 +136,11 @@
       return;
     }
     boolean awaits = host.scheduler().awaitsReport(id());
-    boolean needed = !answered || failures > 0 || endsPending || awaits;
+    boolean needed = !answered || failures > 0 || endsPending || ackUnheard || awaits;
     if (!needed && !host.scheduler().hasRuns(id())) {
       return;
     }
-    if (awaits && holding && !looking && now >= notBeforeMillis) {
+    if ((awaits || ackUnheard) && holding && !looking && now >= notBeforeMillis) {
       looking = true;
       hold(0, true);
     }
@@ -141,7 +151,13 @@
       return;
     }
     holding = true;
-    hold(answered && failures == 0 && !endsPending && !awaits ? WAIT_MILLIS : 0, false);
+    boolean mayWait = answered && failures == 0 && !endsPending && !awaits;
+    hold(mayWait && (!ackUnheard || isLifeFresh()) ? WAIT_MILLIS : 0, false);
+  }
+
+  /** Returns whether the runner reported lately enough that it still is the same life of it. */
+  private boolean isLifeFresh() {
+    return context.nowMillis() - reportedMillis < FRESH_MILLIS;
   }
 
   private void hold(long waitMillis, boolean look) {
@@ -153,13 +169,13 @@
     }
     final long granted = until;
     final Address to = address;
-    final long acked = ackedEnd;
+    final long acked = ackUnheard && isLifeFresh() ? ackedEnd : 0;
     shard.afterwards(
         () ->
             context
                 .runners()
                 .hold(to, token, acked, granted, waitMillis, waitMillis + CALL_MILLIS)
-                .whenComplete((a, e) -> shard.run(() -> held(a, e, now, look))));
+                .whenComplete((a, e) -> shard.run(() -> held(a, e, now, acked, look))));
   }
 
   private long until(long now) {
@@ -167,7 +183,7 @@
     return now + clockOffset + context.settings().holdMillis();
   }
 
-  private void held(HoldAnswer a, Throwable e, long sent, boolean look) {
+  private void held(HoldAnswer a, Throwable e, long sent, long acked, boolean look) {
     if (look) {
       looking = false;
     } else {
@@ -184,14 +200,24 @@
       host.fenced();
       return;
     }
+    if (acked == ackedEnd && acked > 0) {
+      ackUnheard = false;
+    }
     report(a.report(), sent);
   }
 
   private void report(RunnerReport r, long sent) {
+    if (r.born() < born) {
+      // An answer of an earlier life that was overtaken.
+      wake();
+      return;
+    }
+    reportedMillis = context.nowMillis();
     if (r.born() != born) {
       born = r.born();
       lastEnd = 0;
       ackedEnd = 0;
+      ackUnheard = false;
     }
     if (failures > 0 && silentReported) {
       context.report(DispatchTopic.RUNNER_BACK, "runner", id(), "failures", failures);
@@ -215,24 +241,15 @@
           () -> {
             if (life == born) {
               ackedEnd = Math.max(ackedEnd, durable);
+              ackUnheard = true;
               endsPending = lastEnd > ackedEnd;
-              if (!endsPending) {
-                acknowledge();
-              }
+              wake();
             }
           });
     }
     wake();
   }
 
-  /** Sends the next hold, which acknowledges the ends, also if nothing runs there any more. */
-  private void acknowledge() {
-    if (!holding && !host.isEnded()) {
-      holding = true;
-      hold(host.scheduler().hasRuns(id()) ? WAIT_MILLIS : 0, false);
-    }
-  }
-
   private void clock(long clockMillis) {
     if (clockMillis != RunnerClient.NO_TIME) {
       clockOffset = clockMillis - context.nowMillis();
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -193,6 +193,10 @@
 
   private static void fault(WorkflowCluster c, Random random) {
     List<String> names = new ArrayList<>(new TreeSet<>(c.nodes.keySet()));
+    if (names.size() == 1) {
+      // The tests need an instance to ask; the loss of all is played on the bench.
+      return;
+    }
     String name = names.get(random.nextInt(names.size()));
     String runner = "r" + random.nextInt(6);
     switch (random.nextInt(40)) {
