--- a/standin/src/main/java/dev/dandelionport/standin/fleet/ArchiveBuild.java
+++ b/standin/src/main/java/dev/dandelionport/standin/fleet/ArchiveBuild.java
@@ -63,7 +63,8 @@
 
   private static String settings(int platform, int callers, int readiness, int peers) {
     String address = "\"" + LOCALHOST + ":" + platform + "\"";
-    return ("{\"node-name\":\"archive\",\"role\":\"edge\",\"zone\":\"zone-0\",\"region\":\"region\",\"ip\":\"%s\","
+    return ("{\"node-name\":\"archive\",\"role\":\"edge\",\"zone\":\"zone-0\","
+            + "\"region\":\"region\",\"ip\":\"%s\","
             + "\"listen-addrs\":{\"frontend\":\"%s:%d\",\"readiness\":\"%s:%d\"},"
             + "\"port-range\":[%d,%d],"
             + "\"bounds\":{},\"advice\":%s,\"platform\":{\"address\":%s,\"ttl-min-ms\":1000}}")
--- a/standin/src/main/java/dev/dandelionport/standin/fleet/FleetPlatform.java
+++ b/standin/src/main/java/dev/dandelionport/standin/fleet/FleetPlatform.java
@@ -65,7 +65,8 @@
   }
 
   private String entry(int number) {
-    return ("{\"service\":\"svc\",\"address\":\"127.0.0.1:%d\",\"zone\":\"zone-%d\",\"version\":\"v1\",\"slots\":8,"
+    return ("{\"service\":\"svc\",\"address\":\"127.0.0.1:%d\",\"zone\":\"zone-%d\","
+            + "\"version\":\"v1\",\"slots\":8,"
             + "\"state\":\"ready\",\"cold-remaining-ms\":0,"
             + "\"capacity\":{\"cpu\":16000,\"mem-mb\":32768,\"gpu\":0},"
             + "\"labels\":[\"a\",\"r1-%d\"],\"clock-ms\":1,\"seq\":1}")
@@ -74,7 +75,8 @@
 
   /** Returns a configuration with one queue that needs advice and one client account. */
   public static String configuration(long version) {
-    return ("{\"version\":%d,\"routes\":[{\"name\":\"r-1\",\"host\":\"%s\",\"prefix\":\"%s\",\"kind\":\"non_idempotent\","
+    return ("{\"version\":%d,\"routes\":[{\"name\":\"r-1\",\"host\":\"%s\","
+            + "\"prefix\":\"%s\",\"kind\":\"non_idempotent\","
             + "\"timeout-ms\":3000,\"target-duration-ms\":250,\"priority\":0,\"service\":\"svc\","
             + "\"max-attempts\":3,\"slack-factor\":2,"
             + "\"advice\":{\"decide-ms\":1,\"period-ms\":0.1,\"valid-ms\":2000},"
