--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
@@ -56,6 +56,18 @@
       long now = context.nowMillis();
       boolean late = now >= deadlineMillis - SPARE_MILLIS;
       if (late || !uncertain && now - startMillis > NO_OWNER_MILLIS) {
+        context.report(
+            DispatchTopic.REQUEST_REFUSED,
+            "why",
+            "no owner answered",
+            "kind",
+            call.kind().name(),
+            "path",
+            call.path(),
+            "waitedMillis",
+            now - startMillis,
+            "uncertain",
+            uncertain);
         answer.complete(
             uncertain && call.kind() != WorkflowCallKind.READ
                 ? WorkflowAnswer.of(WorkflowStatus.UNCERTAIN)
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -12,7 +12,6 @@
 import dev.dandelionport.core.message.PeerMessage.WorkflowCall;
 import dev.dandelionport.core.message.WorkflowStatus;
 import dev.dandelionport.core.port.PeerException;
-import dev.dandelionport.core.workflow.WorkflowFigures;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -84,12 +83,6 @@
     return shard.call(() -> owner != null && owner.isOpen());
   }
 
-  /** Returns figures about the workflows if this instance owns them. */
-  public Optional<WorkflowFigures> figures() {
-    return shard.call(
-        () -> owner == null ? Optional.<WorkflowFigures>empty() : Optional.of(owner.figures()));
-  }
-
   private void ownerChanged(Optional<Owner> now) {
     boolean own = election.isOwn();
     if (owner != null && (!own || now.get().revision() != ownRevision)) {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -11,7 +11,6 @@
 import dev.dandelionport.core.workflow.StartOrder;
 import dev.dandelionport.core.workflow.WorkflowDecision;
 import dev.dandelionport.core.workflow.WorkflowEffect;
-import dev.dandelionport.core.workflow.WorkflowFigures;
 import dev.dandelionport.core.workflow.WorkflowRecord;
 import dev.dandelionport.core.workflow.WorkflowScheduler;
 import java.util.ArrayDeque;
@@ -349,11 +348,6 @@
     return open && !ended;
   }
 
-  /** Returns since when the store has not answered, in milliseconds; 0 if it does. */
-  long storeSilentMillis() {
-    return context.nowMillis() - Math.max(storeSeenMillis, surroundings.seenMillis());
-  }
-
   boolean isDrained() {
     return journal == null || journal.isIdle();
   }
@@ -387,8 +381,4 @@
           () -> context.timer().schedule(PASS_MILLIS, () -> shard.run(this::answerEarly)));
     }
   }
-
-  WorkflowFigures figures() {
-    return scheduler.figures();
-  }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/GangPlacement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/GangPlacement.java
@@ -37,12 +37,10 @@
       return;
     }
     if (cell.allowedByCeiling(s) < tasks.size()) {
-      s.blockedBy = "its account is at its ceiling";
       return;
     }
     List<Runner> chosen = choose(s, q, candidates);
     if (chosen.isEmpty()) {
-      s.blockedBy = "the runners have no room for all its tasks";
       return;
     }
     int number = 0;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -61,7 +61,6 @@
       }
       Queue q = cell.queueOf(s);
       if (q == null) {
-        s.blockedBy = "its queue is not configured";
         continue;
       }
       List<Task> tasks = s.startable(cell.now);
@@ -175,12 +174,10 @@
     int placed = 0;
     for (Task t : tasks) {
       if (placed >= allowed) {
-        s.blockedBy = "its account is at its ceiling";
         break;
       }
       Runner r = best(s, q, t, candidates);
       if (r == null) {
-        s.blockedBy = candidates.isEmpty() ? "no runner may run it now" : "no runner has room";
         break;
       }
       runs.begin(t, r, t.lastRun + 1);
--- a/core/src/main/java/dev/dandelionport/core/workflow/Run.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Run.java
@@ -25,8 +25,6 @@
     STUCK,
     /** Its start was not answered; the stop keeps a late start from being carried out. */
     UNANSWERED,
-    /** Its runner leaves. */
-    LEAVING,
     /** Another copy of the task is done. */
     COPY
   }
@@ -45,7 +43,6 @@
   boolean urgent;
 
   Phase phase = Phase.INTENDED;
-  long intendedMillis;
 
   /** When the start was sent, on the owner's steady clock; 0 if it was not. */
   long sentMillis;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Runs.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Runs.java
@@ -29,7 +29,6 @@
   /** Intends a run of a task. */
   Run begin(Task t, Runner runner, int number) {
     Run r = new Run(t, number, runner, runner.born);
-    r.intendedMillis = cell.now;
     t.lastRun = Math.max(t.lastRun, number);
     t.run = r;
     cell.occupy(r);
--- a/core/src/main/java/dev/dandelionport/core/workflow/Step.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Step.java
@@ -63,9 +63,6 @@
   /** When the first member of the gang's run was started. */
   long gangSinceMillis;
 
-  /** Why no task of the step could be placed last time, for explanations. */
-  String blockedBy = "";
-
   Step(Workflow workflow, int occurrence, int number) {
     this.workflow = workflow;
     this.key = new StepKey(workflow.spec.id(), occurrence, number);
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowReplay.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowReplay.java
@@ -67,7 +67,6 @@
     Run r = new Run(t, i.run(), runner, i.born());
     r.phase = Phase.UNCONFIRMED;
     r.inherited = true;
-    r.intendedMillis = cell.now;
     t.run = r;
     t.lastRun = Math.max(t.lastRun, i.run());
     if (t.step.spec.gang()) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -398,9 +398,4 @@
     }
     return null;
   }
-
-  /** Returns figures for metrics and explanations. */
-  public WorkflowFigures figures() {
-    return WorkflowFigures.of(cell);
-  }
 }
--- a/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
+++ b/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
@@ -20,10 +20,8 @@
       case OWNER_LOST -> LogEvent.WORKFLOWS_LOST;
       case OWNER_SEEN -> LogEvent.WORKFLOW_OWNER;
       case POLICY_IN_FORCE -> LogEvent.POLICY_IN_FORCE;
-      case POLICY_STALE -> LogEvent.POLICY_STALE;
       case DOMAINS_CLOSED -> LogEvent.DOMAINS_CLOSED;
       case STORE_LOST -> LogEvent.STORE_CALL_FAILED;
-      case STORE_BACK -> LogEvent.STORE_OUTAGE_ENDED;
       case RUNNER_SILENT -> LogEvent.RUNNER_SILENT;
       case RUNNER_BACK -> LogEvent.RUNNER_BACK;
       case RUNNER_LAPSED -> LogEvent.RUNNER_LAPSED;
--- a/node/src/main/java/dev/dandelionport/node/process/LogEvent.java
+++ b/node/src/main/java/dev/dandelionport/node/process/LogEvent.java
@@ -40,7 +40,6 @@
   OPERATOR_INVALID(3005, Level.WARN, "operator call was invalid", 100),
   MANIFEST_STALE(3006, Level.WARN, "manifest is not confirmed; nothing new starts"),
   POLICY_IN_FORCE(3007, Level.INFO, "configuration came into force"),
-  POLICY_STALE(3008, Level.WARN, "configuration may be outdated; callers are refused"),
   DOMAINS_CLOSED(3009, Level.INFO, "failure domains in which nothing starts changed"),
   JOB_ACCEPTED(4001, Level.DEBUG, "job was accepted"),
   START_SENT(4002, Level.DEBUG, "start was sent to a worker"),
