--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/OwnerRouterTest.java
@@ -0,0 +1,86 @@
+package dev.dandelionport.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.dandelionport.core.common.InstanceId;
+import dev.dandelionport.core.message.PeerMessage;
+import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
+import dev.dandelionport.core.message.PeerMessage.WorkflowCall;
+import dev.dandelionport.core.message.WorkflowCallKind;
+import dev.dandelionport.core.message.WorkflowStatus;
+import dev.dandelionport.core.port.InstanceInfo;
+import dev.dandelionport.core.port.PeerException;
+import dev.dandelionport.core.testing.FakeProcess;
+import dev.dandelionport.core.testing.VirtualTime;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
+
+class OwnerRouterTest {
+
+  private final VirtualTime time = new VirtualTime(1);
+  private final FakeProcess process = new FakeProcess(time);
+  private Supplier<CompletableFuture<PeerMessage>> peer =
+      () -> CompletableFuture.failedFuture(new PeerException("gone", false, null));
+  private int requests;
+
+  private WorkflowAnswer answer(WorkflowCallKind kind) {
+    InstanceInfo owner = new InstanceInfo(new InstanceId("o"), "r", "fd", "127.0.0.1", 1);
+    DispatchContext context =
+        new DispatchContext(
+            owner,
+            null,
+            null,
+            null,
+            (to, message, timeout) -> {
+              requests++;
+              return peer.get();
+            },
+            null,
+            process,
+            process,
+            () -> null,
+            (topic, fields) -> {});
+    OwnerRouter router =
+        new OwnerRouter(
+            context, c -> Optional.empty(), () -> Optional.of(new OwnerRecord.Owner(owner, 1, 1)));
+    long now = TimeUnit.NANOSECONDS.toMillis(process.monotonicNanos());
+    CompletableFuture<WorkflowAnswer> f =
+        router.call(new WorkflowCall(kind, "h", "/q/1", "", new byte[0]), now + 3_000);
+    assertThat(time.runUntil(f::isDone, 3_000)).isTrue();
+    return f.join();
+  }
+
+  private static CompletableFuture<PeerMessage> of(WorkflowStatus s) {
+    return CompletableFuture.completedFuture(WorkflowAnswer.of(s));
+  }
+
+  // Guards against a caller that is told "not run" although an owner may have accepted its work.
+  @Test
+  void requestThatWasSentIsNeverRefusedAsNotRun() {
+    peer =
+        () ->
+            requests == 1
+                ? CompletableFuture.failedFuture(new PeerException("lost", true, null))
+                : of(WorkflowStatus.REFUSED);
+    assertThat(answer(WorkflowCallKind.SUBMIT).status()).isEqualTo(WorkflowStatus.UNCERTAIN);
+  }
+
+  // Guards against an uncertain answer, which a caller cannot act on, where the truth is known.
+  @Test
+  void requestThatWasNeverSentIsRefusedWithTimeToComeBack() {
+    WorkflowAnswer a = answer(WorkflowCallKind.SUBMIT);
+    assertThat(a.status()).isEqualTo(WorkflowStatus.REFUSED);
+    assertThat(a.retryMillis()).isPositive();
+  }
+
+  // Guards against a request that is given up although the next owner would serve it.
+  @Test
+  void requestIsRepeatedUntilAnOwnerServesIt() {
+    peer = () -> of(requests < 4 ? WorkflowStatus.NOT_OWNER : WorkflowStatus.OK);
+    assertThat(answer(WorkflowCallKind.READ).status()).isEqualTo(WorkflowStatus.OK);
+    assertThat(requests).isEqualTo(4);
+  }
+}
