--- a/core/src/main/java/dev/dandelionport/core/common/ResourceVector.java
+++ b/core/src/main/java/dev/dandelionport/core/common/ResourceVector.java
@@ -50,6 +50,20 @@
         && accelerators <= capacity.accelerators;
   }
 
+  /** Returns how many times this vector fits in {@code room}; components of 0 do not count. */
+  public int copiesIn(ResourceVector room) {
+    long n = Integer.MAX_VALUE;
+    n = atMost(n, slots, room.slots);
+    n = atMost(n, connections, room.connections);
+    n = atMost(n, milliCores, room.milliCores);
+    n = atMost(n, memoryMb, room.memoryMb);
+    return (int) Math.max(0, atMost(n, accelerators, room.accelerators));
+  }
+
+  private static long atMost(long n, long size, long room) {
+    return size <= 0 ? n : Math.min(n, room / size);
+  }
+
   /** Returns the largest fraction that this vector takes of any component of {@code total}. */
   public double dominantShareOf(ResourceVector total) {
     double s = fraction(slots, total.slots);
--- a/core/src/main/java/dev/dandelionport/core/dispatch/DispatchContext.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchContext.java
@@ -1,5 +1,6 @@
 package dev.dandelionport.core.dispatch;
 
+import dev.dandelionport.core.common.Shard;
 import dev.dandelionport.core.common.TimeSource;
 import dev.dandelionport.core.port.AdviceClient;
 import dev.dandelionport.core.port.InstanceInfo;
@@ -49,6 +50,11 @@
     return TimeUnit.NANOSECONDS.toMillis(time.monotonicNanos());
   }
 
+  /** Runs {@code action} under a shard's lock after a while; call it with the lock held. */
+  void later(Shard shard, long millis, Runnable action) {
+    shard.afterwards(() -> timer.schedule(millis, () -> shard.run(action)));
+  }
+
   /** Reports something that happened; fields alternate between name and value. */
   void report(DispatchTopic topic, Object... fields) {
     Map<String, Object> map = new LinkedHashMap<>();
--- a/core/src/main/java/dev/dandelionport/core/dispatch/HistoryReader.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/HistoryReader.java
@@ -2,7 +2,6 @@
 
 import dev.dandelionport.core.port.SharedStore;
 import dev.dandelionport.core.port.SharedStore.Entry;
-import dev.dandelionport.core.port.SharedStore.Page;
 import dev.dandelionport.core.workflow.WorkflowCodec;
 import dev.dandelionport.core.workflow.WorkflowRecord;
 import java.util.ArrayList;
@@ -38,24 +37,12 @@
 
   /** Reads all; fails if the store does not answer or a snapshot lacks a part. */
   static CompletableFuture<History> read(SharedStore store) {
-    return page(store, "", new TreeMap<>()).thenApply(HistoryReader::decode);
+    return store.listAll(StoreKeys.HISTORY).thenApply(p -> decode(p.entries()));
   }
 
-  private static CompletableFuture<TreeMap<String, Entry>> page(
-      SharedStore store, String after, TreeMap<String, Entry> all) {
-    return store.list(StoreKeys.HISTORY, after).thenCompose(p -> next(store, p, all));
-  }
-
-  private static CompletableFuture<TreeMap<String, Entry>> next(
-      SharedStore store, Page p, TreeMap<String, Entry> all) {
-    p.entries().forEach(e -> all.put(e.key(), e));
-    if (p.more() && !p.entries().isEmpty()) {
-      return page(store, p.entries().get(p.entries().size() - 1).key(), all);
-    }
-    return CompletableFuture.completedFuture(all);
-  }
-
-  private static History decode(TreeMap<String, Entry> all) {
+  private static History decode(List<Entry> entries) {
+    TreeMap<String, Entry> all = new TreeMap<>();
+    entries.forEach(e -> all.put(e.key(), e));
     Entry head = all.get(StoreKeys.HEAD);
     SnapshotHead h = head == null ? new SnapshotHead(0, 0) : SnapshotHead.decode(head.value());
     final List<WorkflowRecord> records = new ArrayList<>();
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -50,18 +50,7 @@
     stopped = true;
     if (isOwn()) {
       long lease = owner.get().lease();
-      shard.afterwards(
-          () ->
-              context
-                  .store()
-                  .end(lease)
-                  .exceptionally(
-                      e -> {
-                        // Without an answer the lease runs out by itself.
-                        context.report(
-                            DispatchTopic.STORE_LOST, "call", "end", "error", e.toString());
-                        return null;
-                      }));
+      shard.afterwards(() -> endQuietly(lease));
       owner = Optional.empty();
       changed.accept(owner);
     }
@@ -80,17 +69,19 @@
   }
 
   private void read() {
-    Optional<Owner> found = Optional.empty();
-    for (Entry e : watch.entries()) {
-      if (e.key().equals(StoreKeys.OWNER)) {
-        try {
-          found = Optional.of(OwnerRecord.decode(e));
-        } catch (IllegalArgumentException x) {
-          context.report(DispatchTopic.ENTRY_IGNORED, "key", e.key(), "revision", e.revision());
-        }
-      }
+    Optional<Entry> entry =
+        watch.entries().stream().filter(e -> e.key().equals(StoreKeys.OWNER)).findFirst();
+    see(entry.flatMap(this::decode));
+  }
+
+  /** Decodes the owner's key; one that cannot be read names no owner. */
+  private Optional<Owner> decode(Entry e) {
+    try {
+      return Optional.of(OwnerRecord.decode(e));
+    } catch (IllegalArgumentException x) {
+      context.report(DispatchTopic.ENTRY_IGNORED, "key", e.key(), "revision", e.revision());
+      return Optional.empty();
     }
-    see(found);
   }
 
   private void see(Optional<Owner> found) {
@@ -190,7 +181,7 @@
         .whenComplete(
             (v, e) -> {
               if (e != null) {
-                // The former owner's lease then runs out by itself.
+                // The lease then runs out by itself.
                 context.report(DispatchTopic.STORE_LOST, "call", "end", "error", e.toString());
               }
             });
@@ -205,13 +196,7 @@
       // Nothing is known; whoever finds the owner silent reads again.
       return;
     }
-    Optional<Owner> found = Optional.empty();
-    try {
-      found = entry.map(OwnerRecord::decode);
-    } catch (IllegalArgumentException x) {
-      context.report(DispatchTopic.ENTRY_IGNORED, "key", StoreKeys.OWNER);
-    }
-    see(found);
+    see(entry.flatMap(this::decode));
   }
 
   /** Renews the own lease when it is time; {@code renewed} gets the time of the call. */
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
@@ -1,5 +1,6 @@
 package dev.dandelionport.core.dispatch;
 
+import dev.dandelionport.core.common.Failures;
 import dev.dandelionport.core.dispatch.OwnerRecord.Owner;
 import dev.dandelionport.core.message.PeerMessage;
 import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
@@ -9,7 +10,6 @@
 import dev.dandelionport.core.port.PeerException;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
@@ -94,8 +94,7 @@
 
     private void answered(WorkflowAnswer a, Throwable e) {
       if (e != null) {
-        Throwable cause =
-            e instanceof CompletionException && e.getCause() != null ? e.getCause() : e;
+        Throwable cause = Failures.cause(e);
         uncertain |= !(cause instanceof PeerException p) || p.sent();
         again();
       } else if (a.status() == WorkflowStatus.UNCERTAIN) {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/PrefixWatch.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/PrefixWatch.java
@@ -1,5 +1,6 @@
 package dev.dandelionport.core.dispatch;
 
+import dev.dandelionport.core.common.Failures;
 import dev.dandelionport.core.common.Shard;
 import dev.dandelionport.core.port.HistoryLostException;
 import dev.dandelionport.core.port.SharedStore;
@@ -8,7 +9,6 @@
 import dev.dandelionport.core.port.SharedStore.Entry;
 import dev.dandelionport.core.port.SharedStore.Page;
 import java.util.Collection;
-import java.util.Map;
 import java.util.TreeMap;
 
 /**
@@ -26,7 +26,6 @@
   private final long waitMillis;
   private final Runnable listener;
   private final TreeMap<String, Entry> entries = new TreeMap<>();
-  private TreeMap<String, Entry> listing;
   private long revision;
   private boolean listed;
   private boolean stopped;
@@ -72,19 +71,12 @@
   }
 
   private void list() {
-    listing = new TreeMap<>();
-    page("", context.nowMillis());
-  }
-
-  private void page(String after, long sent) {
+    long sent = context.nowMillis();
     shard.afterwards(
-        () ->
-            store
-                .list(prefix, after)
-                .whenComplete((p, e) -> shard.run(() -> listed(p, e, after, sent))));
+        () -> store.listAll(prefix).whenComplete((p, e) -> shard.run(() -> listed(p, e, sent))));
   }
 
-  private void listed(Page p, Throwable e, String after, long sent) {
+  private void listed(Page p, Throwable e, long sent) {
     if (stopped) {
       return;
     }
@@ -93,17 +85,9 @@
       again(this::list);
       return;
     }
-    p.entries().forEach(x -> listing.put(x.key(), x));
-    if (after.isEmpty()) {
-      revision = p.revision();
-    }
-    if (p.more() && !p.entries().isEmpty()) {
-      page(p.entries().get(p.entries().size() - 1).key(), sent);
-      return;
-    }
     entries.clear();
-    entries.putAll(listing);
-    listing = null;
+    p.entries().forEach(x -> entries.put(x.key(), x));
+    revision = p.revision();
     listed = true;
     failing = false;
     confirmedMillis = sent;
@@ -130,9 +114,7 @@
     }
     if (e != null) {
       failing = true;
-      Throwable cause = e.getCause() == null ? e : e.getCause();
-      boolean lost = e instanceof HistoryLostException || cause instanceof HistoryLostException;
-      if (lost) {
+      if (Failures.cause(e) instanceof HistoryLostException) {
         list();
       } else {
         again(this::follow);
@@ -142,11 +124,10 @@
     failing = false;
     confirmedMillis = Math.max(confirmedMillis, sent);
     for (Change x : c.changes()) {
-      Map<String, Entry> m = entries;
       if (x.deleted()) {
-        m.remove(x.entry().key());
+        entries.remove(x.entry().key());
       } else {
-        m.put(x.entry().key(), x.entry());
+        entries.put(x.entry().key(), x.entry());
       }
     }
     revision = Math.max(revision, c.revision());
@@ -157,13 +138,13 @@
   }
 
   private void again(Runnable action) {
-    shard.afterwards(
-        () -> context.timer().schedule(RETRY_MILLIS, () -> shard.run(() -> rerun(action))));
-  }
-
-  private void rerun(Runnable action) {
-    if (!stopped) {
-      action.run();
-    }
+    context.later(
+        shard,
+        RETRY_MILLIS,
+        () -> {
+          if (!stopped) {
+            action.run();
+          }
+        });
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -1,5 +1,6 @@
 package dev.dandelionport.core.dispatch;
 
+import dev.dandelionport.core.common.Failures;
 import dev.dandelionport.core.common.Shard;
 import dev.dandelionport.core.dispatch.OwnerRecord.Owner;
 import dev.dandelionport.core.message.PeerMessage;
@@ -14,7 +15,6 @@
 import dev.dandelionport.core.port.PeerException;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 
 /**
  * One instance that serves workflows: takes callers' requests to the owner, helps it with advice,
@@ -162,7 +162,7 @@
     if (context.nowMillis() - contactMillis > SILENT_MILLIS) {
       election.verify();
     }
-    Throwable cause = e instanceof CompletionException && e.getCause() != null ? e.getCause() : e;
+    Throwable cause = Failures.cause(e);
     if (!(cause instanceof PeerException p) || !p.isEnded()) {
       endedBeats = 0;
     } else if (++endedBeats >= ENDED_BEATS && election.isReadable() && !stopping) {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
@@ -52,19 +52,14 @@
   /** Two conditions and one write leave this many deletions in a batch's transaction. */
   private static final int DELETES = SharedStore.MAX_TRANSACTION - 3;
 
-  /** Something that waits for a batch. */
-  interface Durable {
-    void run();
-  }
-
   private static final class Batch {
     final Transaction transaction;
     final String key;
-    final List<Durable> waiting;
+    final List<Runnable> waiting;
     boolean stored;
     boolean sending;
 
-    Batch(Transaction transaction, String key, List<Durable> waiting) {
+    Batch(Transaction transaction, String key, List<Runnable> waiting) {
       this.transaction = transaction;
       this.key = key;
       this.waiting = waiting;
@@ -78,7 +73,7 @@
   private final Deque<String> obsolete = new ArrayDeque<>();
   private final Deque<Batch> inFlight = new ArrayDeque<>();
   private List<WorkflowRecord> records = new ArrayList<>();
-  private List<Durable> waiting = new ArrayList<>();
+  private List<Runnable> waiting = new ArrayList<>();
   private long next;
   private long batchesSinceSnapshot;
   private boolean first = true;
@@ -127,7 +122,7 @@
   }
 
   /** Adds records; {@code durable} runs under the shard's lock once they are stored. */
-  void append(List<WorkflowRecord> more, Durable durable) {
+  void append(List<WorkflowRecord> more, Runnable durable) {
     if (stopped) {
       // Nothing is durable any more: the next owner must hear of it from the runners.
       return;
@@ -167,19 +162,14 @@
   }
 
   private void later(long millis, Runnable action) {
-    shard.afterwards(
-        () ->
-            context
-                .timer()
-                .schedule(
-                    millis,
-                    () ->
-                        shard.run(
-                            () -> {
-                              if (!stopped) {
-                                action.run();
-                              }
-                            })));
+    context.later(
+        shard,
+        millis,
+        () -> {
+          if (!stopped) {
+            action.run();
+          }
+        });
   }
 
   private void write() {
@@ -230,7 +220,7 @@
 
   private void drain() {
     while (!inFlight.isEmpty() && inFlight.peek().stored) {
-      inFlight.poll().waiting.forEach(Durable::run);
+      inFlight.poll().waiting.forEach(Runnable::run);
     }
     for (Batch b : inFlight) {
       if (!b.sending && !b.stored) {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -159,8 +159,7 @@
           surroundings.runners().size(),
           "millis",
           context.nowMillis() - claimedMillis);
-      shard.afterwards(
-          () -> context.timer().schedule(EARLY_MILLIS, () -> shard.run(this::answerEarly)));
+      context.later(shard, EARLY_MILLIS, this::answerEarly);
     }
     decided();
     links.values().forEach(RunnerLink::wake);
@@ -195,7 +194,7 @@
         journal.snapshot(scheduler.snapshot());
       }
     }
-    shard.afterwards(() -> context.timer().schedule(TICK_MILLIS, () -> shard.run(this::tick)));
+    context.later(shard, TICK_MILLIS, this::tick);
   }
 
   @Override
@@ -215,20 +214,15 @@
       pass();
     } else if (!passScheduled) {
       passScheduled = true;
-      shard.afterwards(
-          () ->
-              context
-                  .timer()
-                  .schedule(
-                      PASS_MILLIS,
-                      () ->
-                          shard.run(
-                              () -> {
-                                passScheduled = false;
-                                if (!ended) {
-                                  pass();
-                                }
-                              })));
+      context.later(
+          shard,
+          PASS_MILLIS,
+          () -> {
+            passScheduled = false;
+            if (!ended) {
+              pass();
+            }
+          });
     }
   }
 
@@ -291,7 +285,7 @@
 
   @Override
   public void whenDurable(Runnable action) {
-    journal.append(List.of(), action::run);
+    journal.append(List.of(), action);
   }
 
   @Override
@@ -377,8 +371,7 @@
           .thenAccept(a -> shard.run(() -> shard.afterwards(() -> e.answer().complete(a))));
     }
     if (!early.isEmpty()) {
-      shard.afterwards(
-          () -> context.timer().schedule(PASS_MILLIS, () -> shard.run(this::answerEarly)));
+      context.later(shard, PASS_MILLIS, this::answerEarly);
     }
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/engine/HostTable.java
+++ b/core/src/main/java/dev/dandelionport/core/engine/HostTable.java
@@ -1,6 +1,7 @@
 package dev.dandelionport.core.engine;
 
 import dev.dandelionport.core.common.AlertCode;
+import dev.dandelionport.core.common.Failures;
 import dev.dandelionport.core.common.PartitionId;
 import dev.dandelionport.core.common.Shard;
 import dev.dandelionport.core.common.SortedCopies;
@@ -20,7 +21,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.LongSupplier;
 
 /** The partition hosts of this instance. Guarded by the instance's shard. */
@@ -116,7 +116,7 @@
       serving.add(h.partition());
       return;
     }
-    Throwable cause = e instanceof CompletionException ? e.getCause() : e;
+    Throwable cause = Failures.cause(e);
     shard.afterwards(
         () -> {
           h.abandon();
--- a/core/src/main/java/dev/dandelionport/core/engine/JobRoute.java
+++ b/core/src/main/java/dev/dandelionport/core/engine/JobRoute.java
@@ -1,5 +1,6 @@
 package dev.dandelionport.core.engine;
 
+import dev.dandelionport.core.common.Failures;
 import dev.dandelionport.core.common.JobKey;
 import dev.dandelionport.core.common.PartitionId;
 import dev.dandelionport.core.message.JobReply;
@@ -13,7 +14,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -174,7 +174,7 @@
   private void answered(PartitionId p, PeerMessage m, Throwable e) {
     if (e != null) {
       router.gate().close(p);
-      failed(e instanceof CompletionException ? e.getCause() : e);
+      failed(Failures.cause(e));
     } else if (m instanceof PeerMessage.JobAnswer a && a.reply() != null) {
       if (a.reply().outcome() == Outcome.NOT_OWNER || a.reply().outcome() == Outcome.UNKNOWN) {
         router.gate().close(p);
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/engine/LinkEvents.java
@@ -0,0 +1,35 @@
+package dev.dandelionport.core.engine;
+
+import dev.dandelionport.core.scheduler.Event;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Takes what workers report to the scheduler of their partition.
+ *
+ * @param driver the partition's scheduler
+ * @param closed whether the partition's host takes no more work
+ * @param answered called when a worker has answered
+ */
+record LinkEvents(SchedulerDriver driver, BooleanSupplier closed, Runnable answered)
+    implements WorkerLinks.Owner {
+
+  @Override
+  public void handle(Event e) {
+    driver.handle(e);
+  }
+
+  @Override
+  public void afterCommit(Runnable action) {
+    driver.afterCommit(action);
+  }
+
+  @Override
+  public boolean isClosed() {
+    return closed.getAsBoolean();
+  }
+
+  @Override
+  public void workerAnswered() {
+    answered.run();
+  }
+}
--- a/core/src/main/java/dev/dandelionport/core/engine/ManifestCommits.java
+++ b/core/src/main/java/dev/dandelionport/core/engine/ManifestCommits.java
@@ -1,5 +1,6 @@
 package dev.dandelionport.core.engine;
 
+import dev.dandelionport.core.common.Failures;
 import dev.dandelionport.core.common.JsonCodec;
 import dev.dandelionport.core.manifest.Manifest;
 import dev.dandelionport.core.port.KeyValueStore;
@@ -8,7 +9,6 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
 
 /**
@@ -80,7 +80,7 @@
         .compareAndSwap(ControlKeys.MANIFEST, base.revision(), value, KeyValueStore.NO_LEASE)
         .handle(
             (r, e) -> {
-              Throwable cause = e instanceof CompletionException ? e.getCause() : e;
+              Throwable cause = Failures.cause(e);
               if (cause instanceof StoreUnavailableException) {
                 return readBack(value, next.version());
               } else if (cause != null) {
--- a/core/src/main/java/dev/dandelionport/core/engine/PartitionHost.java
+++ b/core/src/main/java/dev/dandelionport/core/engine/PartitionHost.java
@@ -17,7 +17,6 @@
 import dev.dandelionport.core.message.PartitionFigures;
 import dev.dandelionport.core.message.PeerMessage;
 import dev.dandelionport.core.ownership.PartitionOwner;
-import dev.dandelionport.core.port.Timer;
 import dev.dandelionport.core.port.Tracing;
 import dev.dandelionport.core.port.WorkerInfo;
 import dev.dandelionport.core.scheduler.Event;
@@ -28,7 +27,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
 /**
  * One partition while this instance owns it: opens its journal, answers calls about its jobs, and
@@ -44,7 +43,6 @@
   private final PartitionOwner ownership;
   private final HostContext context;
   private final TimeSource time;
-  private final Timer timer;
   private final JournalTarget target;
   private final WaiterTable waiters;
   private final CompletableFuture<Void> ready = new CompletableFuture<>();
@@ -81,7 +79,6 @@
     this.permits = permits;
     EngineContext engine = context.engine();
     this.time = engine.time();
-    this.timer = engine.timer();
     this.openNanos = time.monotonicNanos();
     this.shard =
         new Shard(
@@ -92,7 +89,12 @@
     String writer = engine.self().id() + "#" + number;
     this.target =
         new JournalTarget(
-            engine.store(), timer, time, JournalKeys.of(partition), ownership.epoch(), writer);
+            engine.store(),
+            engine.timer(),
+            time,
+            JournalKeys.of(partition),
+            ownership.epoch(),
+            writer);
   }
 
   /** Returns the partition. */
@@ -163,7 +165,8 @@
             new JournalReports(partition, shard, context, this::fenced));
     driver = new SchedulerDriver(scheduler, journal, shard, context, waiters);
     calls = new JobCalls(shard, context, driver, journal, waiters, epoch() == 1);
-    links = new WorkerLinks(partition, epoch(), shard, context, new LinkEvents());
+    LinkEvents events = new LinkEvents(driver, () -> closed, this::serveIfReady);
+    links = new WorkerLinks(partition, epoch(), shard, context, events);
     driver.connect(
         links, new StartSender(partition, epoch(), shard, context, links, driver::handle));
     permits.ifPresent(driver::setPermits);
@@ -198,32 +201,24 @@
   /** Submits a job; completes when it is final, or after the caller's wait with its status. */
   CompletableFuture<JobReply> submit(PeerMessage.SubmitCall call) {
     Tracing.Span span = context.engine().tracing().start("owner", call.traceparent());
-    CompletableFuture<JobReply> f = new CompletableFuture<>();
-    AdmissionQueue.Held job =
-        new AdmissionQueue.Held(call, f, span.traceparent(), time.monotonicNanos());
-    onCalls(f, c -> c.submit(job));
-    return f.whenComplete((r, e) -> span.end(e == null && r.outcome() == Outcome.STATUS));
+    long now = time.monotonicNanos();
+    return onCalls((c, f) -> c.submit(new AdmissionQueue.Held(call, f, span.traceparent(), now)))
+        .whenComplete((r, e) -> span.end(e == null && r.outcome() == Outcome.STATUS));
   }
 
   /** Refuses a request as not run, so that no copy of it is accepted, unless it is known. */
   CompletableFuture<JobReply> refuse(JobKey key) {
-    CompletableFuture<JobReply> f = new CompletableFuture<>();
-    onCalls(f, c -> c.refuse(key, f));
-    return f;
+    return onCalls((c, f) -> c.refuse(key, f));
   }
 
   /** Tells how a job stands, at once if it is final, or else after {@code waitMillis}. */
   public CompletableFuture<JobReply> status(JobKey key, long waitMillis) {
-    CompletableFuture<JobReply> f = new CompletableFuture<>();
-    onCalls(f, c -> c.status(key, waitMillis, f));
-    return f;
+    return onCalls((c, f) -> c.status(key, waitMillis, f));
   }
 
   /** Cancels a job and tells how it stands. */
   public CompletableFuture<JobReply> cancel(JobKey key) {
-    CompletableFuture<JobReply> f = new CompletableFuture<>();
-    onCalls(f, c -> c.cancel(key, f));
-    return f;
+    return onCalls((c, f) -> c.cancel(key, f));
   }
 
   /** Returns figures, and why the job, if one is named and known, waits or runs where it does. */
@@ -241,16 +236,19 @@
         });
   }
 
-  private void onCalls(CompletableFuture<JobReply> f, Consumer<JobCalls> call) {
+  private CompletableFuture<JobReply> onCalls(
+      BiConsumer<JobCalls, CompletableFuture<JobReply>> call) {
+    CompletableFuture<JobReply> f = new CompletableFuture<>();
     shard.run(
         () -> {
           if (closed || !serving) {
             JobReply no = JobReply.of(Outcome.NOT_OWNER, "the partition is not served here");
             shard.afterwards(() -> f.complete(no));
           } else {
-            call.accept(calls);
+            call.accept(calls, f);
           }
         });
+    return f;
   }
 
   /** Puts a newer manifest and the permits that follow from it in force. */
@@ -395,28 +393,6 @@
     if (journal.wantsSnapshot()) {
       journal.snapshot(driver.scheduler()::snapshot);
     }
-    timer.schedule(TICK_MILLIS, () -> shard.run(this::tick));
-  }
-
-  private final class LinkEvents implements WorkerLinks.Owner {
-    @Override
-    public void handle(Event e) {
-      driver.handle(e);
-    }
-
-    @Override
-    public void afterCommit(Runnable action) {
-      driver.afterCommit(action);
-    }
-
-    @Override
-    public boolean isClosed() {
-      return closed;
-    }
-
-    @Override
-    public void workerAnswered() {
-      serveIfReady();
-    }
+    context.engine().timer().schedule(TICK_MILLIS, () -> shard.run(this::tick));
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/port/SharedStore.java
+++ b/core/src/main/java/dev/dandelionport/core/port/SharedStore.java
@@ -1,5 +1,6 @@
 package dev.dandelionport.core.port;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -81,6 +82,29 @@
   /** Reads keys that start with {@code prefix} and come after {@code after}, linearizably. */
   CompletableFuture<Page> list(String prefix, String after);
 
+  /**
+   * Reads all keys that start with {@code prefix}, page by page; the revision is the one of the
+   * first page, after which changes may have come.
+   */
+  default CompletableFuture<Page> listAll(String prefix) {
+    return list(prefix, "").thenCompose(first -> listRest(prefix, first));
+  }
+
+  private CompletableFuture<Page> listRest(String prefix, Page soFar) {
+    if (!soFar.more() || soFar.entries().isEmpty()) {
+      return CompletableFuture.completedFuture(new Page(soFar.entries(), false, soFar.revision()));
+    }
+    String last = soFar.entries().get(soFar.entries().size() - 1).key();
+    return list(prefix, last)
+        .thenCompose(
+            next -> {
+              List<Entry> all = new ArrayList<>(soFar.entries());
+              all.addAll(next.entries());
+              boolean more = next.more() && !next.entries().isEmpty();
+              return listRest(prefix, new Page(all, more, soFar.revision()));
+            });
+  }
+
   /**
    * Waits up to {@code waitMillis} for changes below {@code prefix} after a revision. Fails with
    * {@link HistoryLostException} if the store no longer has them.
--- a/core/src/main/java/dev/dandelionport/core/scheduler/Admission.java
+++ b/core/src/main/java/dev/dandelionport/core/scheduler/Admission.java
@@ -65,7 +65,7 @@
     }
     long copies = 0;
     for (Map.Entry<ResourceVector, Integer> e : shapes.entrySet()) {
-      copies += (long) copies(spec.taskSize(), e.getKey()) * e.getValue();
+      copies += (long) spec.taskSize().copiesIn(e.getKey()) * e.getValue();
     }
     if (copies == 0) {
       return Optional.of("a task is larger than any worker");
@@ -76,18 +76,4 @@
     }
     return Optional.empty();
   }
-
-  /** Returns how many tasks of a size fit in {@code room}. */
-  static int copies(ResourceVector size, ResourceVector room) {
-    long n = Integer.MAX_VALUE;
-    n = atMost(n, size.slots(), room.slots());
-    n = atMost(n, size.connections(), room.connections());
-    n = atMost(n, size.milliCores(), room.milliCores());
-    n = atMost(n, size.memoryMb(), room.memoryMb());
-    return (int) Math.max(0, atMost(n, size.accelerators(), room.accelerators()));
-  }
-
-  private static long atMost(long n, long size, long room) {
-    return size <= 0 ? n : Math.min(n, room / size);
-  }
 }
--- a/core/src/main/java/dev/dandelionport/core/scheduler/GangPlanner.java
+++ b/core/src/main/java/dev/dandelionport/core/scheduler/GangPlanner.java
@@ -71,8 +71,8 @@
         at = Math.max(at, ends.expectedEnd(c.task()));
       }
     }
-    int nowFits = Admission.copies(size, w.free());
-    int laterFits = Admission.copies(size, later);
+    int nowFits = size.copiesIn(w.free());
+    int laterFits = size.copiesIn(later);
     if (nowFits > 0) {
       offers.add(new Offer(state.now, w.info.id(), nowFits));
     }
--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -17,7 +17,7 @@
 final class AdviceBook {
 
   /** Most runners that one call may name. */
-  static final int MAX_NAMED = 100;
+  private static final int MAX_NAMED = 100;
 
   /** Runners that are named at least, so that few calls come back without any. */
   private static final int MIN_NAMED = 6;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Cell.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Cell.java
@@ -81,10 +81,26 @@
     return w == null ? null : w.step(k.occurrence(), k.step());
   }
 
+  /** Returns a run on a runner, or null. */
+  Run run(TaskKey task, int number, String runner) {
+    Runner r = runners.get(runner);
+    return r == null ? null : r.find(task, number);
+  }
+
   Queue queueOf(Step s) {
     return policy.queues().get(s.workflow.spec.queue());
   }
 
+  /** Returns whether a runner may get work of a queue, whatever it is and how it fares there. */
+  boolean takesWork(Runner r, Queue q) {
+    return r.listed
+        && r.fenced
+        && !r.silent
+        && !r.info.draining()
+        && r.info.service().equals(q.service())
+        && !closedDomains.contains(r.info.failureDomain());
+  }
+
   ResourceVector running(String account) {
     return running.getOrDefault(account, ResourceVector.ZERO);
   }
@@ -111,19 +127,22 @@
     if (a == null) {
       return Integer.MAX_VALUE;
     }
+    ResourceVector c = a.ceiling();
     ResourceVector used = running(a.name());
-    ResourceVector size = s.spec.size();
-    long n = copies(a.ceiling().milliCores(), used.milliCores(), size.milliCores());
-    n = Math.min(n, copies(a.ceiling().memoryMb(), used.memoryMb(), size.memoryMb()));
-    n = Math.min(n, copies(a.ceiling().accelerators(), used.accelerators(), size.accelerators()));
-    return (int) Math.min(n, Integer.MAX_VALUE);
+    return s.spec
+        .size()
+        .copiesIn(
+            new ResourceVector(
+                0,
+                0,
+                left(c.milliCores(), used.milliCores()),
+                left(c.memoryMb(), used.memoryMb()),
+                (int) left(c.accelerators(), used.accelerators())));
   }
 
-  private static long copies(long ceiling, long used, long size) {
-    if (ceiling <= 0 || size <= 0) {
-      return Integer.MAX_VALUE;
-    }
-    return Math.max(0, (ceiling - used) / size);
+  /** Returns what a ceiling leaves; a ceiling of 0 is none. */
+  private static long left(long ceiling, long used) {
+    return ceiling <= 0 ? Integer.MAX_VALUE : Math.max(0, ceiling - used);
   }
 
   /** Puts a step whose turn has come where its priority and its due time say. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -15,9 +15,6 @@
   /** Steps that are looked at in one pass; bounds its time. */
   private static final int MAX_STEPS = 200;
 
-  /** Gangs for which a pass keeps runners free of less urgent work. */
-  private static final int MAX_RESERVING = 2;
-
   /** Ranks of steps: in time, late, beyond the account's weight, too late to be of use. */
   private static final int IN_TIME = 0;
 
@@ -131,12 +128,7 @@
 
   /** Returns whether a runner may get tasks of a step, tickets and room aside. */
   boolean isUsable(Runner r, Step s, Queue q) {
-    return r.listed
-        && r.fenced
-        && !r.silent
-        && !r.info.draining()
-        && r.info.service().equals(q.service())
-        && !cell.closedDomains.contains(r.info.failureDomain())
+    return cell.takesWork(r, q)
         && (s.spec.label().isEmpty() || r.info.labels().contains(s.spec.label()))
         && r.health.accepts(cell.now);
   }
@@ -147,11 +139,7 @@
     if (q.priority() > 0) {
       free = free.minus(headroom.keptFree(r));
     }
-    ResourceVector size = s.spec.reserved();
-    long n = Integer.MAX_VALUE;
-    n = atMost(n, size.milliCores(), free.milliCores());
-    n = atMost(n, size.memoryMb(), free.memoryMb());
-    n = atMost(n, size.accelerators(), free.accelerators());
+    int n = s.spec.reserved().copiesIn(free);
     if (s.spec.filler() && free.milliCores() < s.spec.size().milliCores()) {
       // Fillers take what is left over; without any they only hold memory.
       n = 0;
@@ -162,11 +150,7 @@
     if (r.health.isHeld()) {
       n = Math.min(n, 1);
     }
-    return (int) Math.max(0, Math.min(n, s.spec.tasks()));
-  }
-
-  private static long atMost(long n, long size, long room) {
-    return size <= 0 ? n : Math.min(n, Math.max(0, room) / size);
+    return Math.max(0, Math.min(n, s.spec.tasks()));
   }
 
   private void placeEach(Step s, Queue q, List<Task> tasks, List<Runner> candidates) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/Preemption.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Preemption.java
@@ -4,7 +4,6 @@
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import dev.dandelionport.core.workflow.Run.Phase;
 import dev.dandelionport.core.workflow.Run.Stop;
-import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -52,25 +51,7 @@
       if (best == null || best.waste() > most) {
         return;
       }
-      stop(best, s);
-    }
-  }
-
-  private void stop(Choice c, Step s) {
-    for (Run x : c.victims()) {
-      cell.note(
-          Topic.STOPPED,
-          "task",
-          x.task.key.toString(),
-          "run",
-          x.number,
-          "runner",
-          x.runner.id(),
-          "why",
-          "room for " + s.key,
-          "ranMillis",
-          cell.now - x.sentMillis);
-      runs.stop(x, Stop.PREEMPTED);
+      best.victims().forEach(x -> runs.stop(x, Stop.PREEMPTED, "room for " + s.key));
     }
   }
 
--- a/core/src/main/java/dev/dandelionport/core/workflow/Runner.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Runner.java
@@ -61,6 +61,16 @@
     }
   }
 
+  /** Returns a run here, or null. */
+  Run find(TaskKey task, int number) {
+    for (Run r : runs) {
+      if (r.is(task, number)) {
+        return r;
+      }
+    }
+    return null;
+  }
+
   /** Returns how many tasks of a step run here. */
   int count(Step s) {
     int n = 0;
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerReports.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerReports.java
@@ -41,7 +41,7 @@
     }
     Set<Run> present = new HashSet<>();
     for (Running x : report.running()) {
-      Run run = find(r, x.task(), x.run());
+      Run run = r.find(x.task(), x.run());
       if (run == null) {
         // A run of a workflow that is no longer known, or one that was given up.
         cell.effect(new WorkflowEffect.Stop(x.task(), x.run(), r.id()));
@@ -70,8 +70,8 @@
       cell.note(Topic.RUNNER_REBORN, "runner", r.id(), "born", r.born, "runs", r.runs.size());
     }
     Set<Run> kept = new HashSet<>();
-    report.running().forEach(x -> kept.add(find(r, x.task(), x.run())));
-    report.ends().forEach(x -> kept.add(find(r, x.task(), x.run())));
+    report.running().forEach(x -> kept.add(r.find(x.task(), x.run())));
+    report.ends().forEach(x -> kept.add(r.find(x.task(), x.run())));
     for (Run run : new ArrayList<>(r.runs)) {
       boolean before = run.confirmedMillis > 0 && run.confirmedMillis < sentMillis;
       if (kept.contains(run) || run.phase == Phase.PRESENT && !before) {
@@ -84,17 +84,8 @@
     }
   }
 
-  private static Run find(Runner r, TaskKey task, int number) {
-    for (Run run : r.runs) {
-      if (run.is(task, number)) {
-        return run;
-      }
-    }
-    return null;
-  }
-
   private void ended(Runner r, End e) {
-    Run run = find(r, e.task(), e.run());
+    Run run = r.find(e.task(), e.run());
     if (run != null) {
       runs.end(run, e.how(), e.saved());
     }
@@ -109,7 +100,7 @@
     Workflow w = run.task.step.workflow;
     if (run.stop != null) {
       runs.stopAgain(run);
-    } else if (w.state.isFinal() || run.task.run != run || run.task.done) {
+    } else if (w.state.isFinal() || run.task.done) {
       runs.stop(run, Stop.COPY);
     }
   }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Runs.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Runs.java
@@ -51,6 +51,23 @@
     sendStop(r);
   }
 
+  /** Tells a run to stop and notes why in words. */
+  void stop(Run r, Stop why, String reason) {
+    cell.note(
+        Topic.STOPPED,
+        "task",
+        r.task.key.toString(),
+        "run",
+        r.number,
+        "runner",
+        r.runner.id(),
+        "why",
+        reason,
+        "ranMillis",
+        cell.now - r.sentMillis);
+    stop(r, why);
+  }
+
   private void sendStop(Run r) {
     r.stopSentMillis = cell.now;
     cell.effect(new WorkflowEffect.Stop(r.task.key, r.number, r.runner.id()));
@@ -67,9 +84,7 @@
   void end(Run r, RunEnd how, String saved) {
     Task t = r.task;
     cell.release(r);
-    if (t.run == r) {
-      t.run = null;
-    }
+    t.run = null;
     cell.record(new Ended(t.key, r.number, how, saved));
     rate(r, how);
     if (how != RunEnd.DONE && how != RunEnd.NEVER_STARTED || r.stop == Stop.UNANSWERED) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
@@ -2,7 +2,6 @@
 
 import dev.dandelionport.core.workflow.Run.Phase;
 import dev.dandelionport.core.workflow.Run.Stop;
-import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -80,24 +79,12 @@
     }
     String why = s.spec.filler() ? "" : whyStuck(x, s);
     if (!why.isEmpty()) {
-      cell.note(
-          Topic.STOPPED,
-          "task",
-          x.task.key.toString(),
-          "run",
-          x.number,
-          "runner",
-          x.runner.id(),
-          "why",
-          why,
-          "ranMillis",
-          cell.now - x.sentMillis);
       if (!s.spec.gang()) {
         // Any member may be what a gang waits for.
         x.runner.health.hold(cell.now);
       }
       x.task.failedOn = x.runner.id();
-      runs.stop(x, Stop.STUCK);
+      runs.stop(x, Stop.STUCK, why);
     }
   }
 
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowReplay.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowReplay.java
@@ -89,13 +89,9 @@
     if (t == null) {
       return;
     }
-    for (Runner x : cell.runners.values()) {
-      for (Run r : List.copyOf(x.runs)) {
-        if (r.is(e.task(), e.run())) {
-          cell.release(r);
-          t.run = t.run == r ? null : t.run;
-        }
-      }
+    if (t.run != null && t.run.number == e.run()) {
+      cell.release(t.run);
+      t.run = null;
     }
     runs.apply(t, e.run(), e.how(), e.saved());
     if (t.step.spec.gang()) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -1,8 +1,6 @@
 package dev.dandelionport.core.workflow;
 
-import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import dev.dandelionport.core.workflow.Run.Phase;
-import dev.dandelionport.core.workflow.Run.Stop;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import dev.dandelionport.core.workflow.WorkflowRecord.Accepted;
 import dev.dandelionport.core.workflow.WorkflowRecord.Forgotten;
@@ -31,6 +29,7 @@
   private final Placement placement;
   private final GangPlacement gangs;
   private final RunnerReports reports;
+  private final Starts starts;
   private final Watchdog watchdog;
   private final WorkflowReplay replay;
   private final Map<String, RateBucket> rates = new HashMap<>();
@@ -44,6 +43,7 @@
     advice.use(placement);
     gangs = new GangPlacement(cell, runs, placement);
     reports = new RunnerReports(cell, runs);
+    starts = new Starts(cell, runs, reports, advice);
     watchdog = new Watchdog(cell, runs, gangs, advice);
     replay = new WorkflowReplay(cell, runs);
   }
@@ -260,77 +260,17 @@
    * given up otherwise.
    */
   public Optional<StartOrder> mayStillStart(TaskKey task, int run, String runner) {
-    Run r = run(task, run, runner);
-    if (r == null || r.phase != Phase.INTENDED) {
-      return Optional.empty();
-    }
-    Step s = r.task.step;
-    Queue q = cell.queueOf(s);
-    boolean usable =
-        q != null
-            && !s.workflow.state.isFinal()
-            && r.born == r.runner.born
-            && r.runner.listed
-            && r.runner.fenced
-            && !r.runner.silent
-            && !r.runner.info.draining()
-            && r.runner.info.service().equals(q.service())
-            && !cell.closedDomains.contains(r.runner.info.failureDomain());
-    Step.Ticket ticket = s.tickets.get(r.runner.id());
-    boolean ticketed =
-        q != null
-            && (q.advice().isEmpty()
-                || ticket != null && ticket.born() == r.born && cell.now < ticket.untilMillis());
-    if (!usable || !ticketed) {
-      runs.end(r, RunEnd.NEVER_STARTED, "");
-      return Optional.empty();
-    }
-    r.phase = Phase.UNCONFIRMED;
-    r.sentMillis = cell.now;
-    return Optional.of(
-        new StartOrder(
-            task,
-            run,
-            s.workflow.spec.payload(),
-            r.task.saved,
-            ticket == null ? "" : ticket.value()));
+    return starts.order(task, run, runner);
   }
 
   /** Takes over the answer to a start. */
   public void startAnswered(TaskKey task, int run, String runner, StartResult result) {
-    Run r = run(task, run, runner);
-    if (r == null) {
-      return;
-    }
-    if (result == StartResult.PRESENT) {
-      reports.confirm(r);
-      if (r.stop != null) {
-        runs.stopAgain(r);
-      }
-      return;
-    }
-    if (r.phase == Phase.PRESENT) {
-      return;
-    }
-    if (result == StartResult.UNKNOWN) {
-      r.task.failedOn = runner;
-      runs.stop(r, Stop.UNANSWERED);
-      return;
-    }
-    cell.note(
-        Topic.ENDED, "task", task.toString(), "run", run, "runner", runner, "how", result.name());
-    if (result == StartResult.NO_TICKET) {
-      advice.refused(r.task.step, r.runner);
-    } else if (result == StartResult.UNHEALTHY) {
-      r.runner.health.failed(cell.now);
-    }
-    r.task.failedOn = runner;
-    runs.end(r, RunEnd.NEVER_STARTED, "");
+    starts.answered(task, run, runner, result);
   }
 
   /** Notes that a runner acknowledged a stop. */
   public void stopAnswered(TaskKey task, int run, String runner) {
-    Run r = run(task, run, runner);
+    Run r = cell.run(task, run, runner);
     if (r != null) {
       r.stopAckMillis = Math.max(1, cell.now);
     }
@@ -385,17 +325,4 @@
       cell.record(new Forgotten(gone));
     }
   }
-
-  private Run run(TaskKey task, int run, String runner) {
-    Runner r = cell.runners.get(runner);
-    if (r == null) {
-      return null;
-    }
-    for (Run x : r.runs) {
-      if (x.is(task, run)) {
-        return x;
-      }
-    }
-    return null;
-  }
 }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -5,6 +5,7 @@
 import dev.dandelionport.core.common.ResourceVector;
 import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
 import dev.dandelionport.core.message.WorkflowStatus;
+import dev.dandelionport.core.testing.Steps;
 import dev.dandelionport.core.workflow.StepSpec;
 import dev.dandelionport.core.workflow.WorkflowState;
 import java.util.ArrayList;
@@ -28,43 +29,11 @@
   }
 
   private static StepSpec step(int tasks, Integer... after) {
-    return new StepSpec(
-        tasks,
-        new ResourceVector(0, 0, 1_000, 10, 0),
-        400,
-        List.of(after),
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        false,
-        "",
-        0,
-        0);
+    return Steps.of(tasks, new ResourceVector(0, 0, 1_000, 10, 0), 400, after);
   }
 
   private static StepSpec gang(int tasks) {
-    return new StepSpec(
-        tasks,
-        new ResourceVector(0, 0, 1_000, 10, 0),
-        400,
-        List.of(),
-        false,
-        true,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        false,
-        "",
-        0,
-        0);
+    return Steps.gang(tasks, new ResourceVector(0, 0, 1_000, 10, 0), 400);
   }
 
   private static WorkflowAnswer await(WorkflowCluster c, CompletableFuture<WorkflowAnswer> f) {
--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/testing/FakeWorkerClient.java
@@ -0,0 +1,109 @@
+package dev.dandelionport.core.testing;
+
+import dev.dandelionport.core.common.AttemptId;
+import dev.dandelionport.core.port.StartCommand;
+import dev.dandelionport.core.port.StartReply;
+import dev.dandelionport.core.port.SyncReply;
+import dev.dandelionport.core.port.SyncRequest;
+import dev.dandelionport.core.port.WorkerClient;
+import dev.dandelionport.core.port.WorkerException;
+import dev.dandelionport.core.port.WorkerInfo;
+import dev.dandelionport.core.scheduler.AttemptOutcome;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** What one process sends to the fake workers, over a network with latency and faults. */
+final class FakeWorkerClient implements WorkerClient {
+
+  /** Time after which a client gives up on an answer, in milliseconds. */
+  private static final long TIMEOUT_MILLIS = 1_000;
+
+  private final FakeWorkers fleet;
+  private final VirtualTime time;
+  private final FakeProcess process;
+
+  FakeWorkerClient(FakeWorkers fleet, VirtualTime time, FakeProcess process) {
+    this.fleet = fleet;
+    this.time = time;
+    this.process = process;
+  }
+
+  private <T> CompletableFuture<T> call(
+      WorkerInfo to, long timeout, long delay, boolean lost, Consumer<Consumer<T>> effect) {
+    CompletableFuture<T> f = new CompletableFuture<>();
+    FakeWorkers.Worker w = fleet.worker(to.id());
+    Runnable arrive =
+        () -> {
+          if (!w.silent && !w.cut.contains(process)) {
+            effect.accept(
+                r -> {
+                  if (!lost && !w.silent && !w.cut.contains(process)) {
+                    time.afterNanos(time.latencyNanos(2), () -> process.run(() -> f.complete(r)));
+                  }
+                });
+          }
+        };
+    time.afterNanos(time.latencyNanos(2) + delay * 1_000_000, arrive);
+    if (time.random().nextDouble() < fleet.duplicates) {
+      time.afterNanos(time.latencyNanos(300), arrive);
+    }
+    process.schedule(
+        timeout, () -> f.completeExceptionally(new WorkerException("no answer", null)));
+    return f;
+  }
+
+  private CompletableFuture<Void> order(WorkerInfo to, AttemptId a, Supplier<AttemptOutcome> o) {
+    FakeWorkers.Worker w = fleet.worker(to.id());
+    return call(
+        to,
+        TIMEOUT_MILLIS,
+        0,
+        false,
+        (Consumer<Void> answer) -> {
+          FakeWorkers.Run r = w.running.get(a);
+          if (r != null && o.get() != null) {
+            w.end(r, o.get());
+          }
+          answer.accept(null);
+        });
+  }
+
+  @Override
+  public CompletableFuture<StartReply> start(WorkerInfo worker, StartCommand c) {
+    long delay = fleet.delayStart.test(c) ? fleet.delayMillis : 0;
+    FakeWorkers.Worker w = fleet.worker(worker.id());
+    return call(
+        worker,
+        TIMEOUT_MILLIS,
+        delay,
+        fleet.loseStartReply.test(c),
+        (Consumer<StartReply> answer) -> answer.accept(w.start(c)));
+  }
+
+  @Override
+  public CompletableFuture<Void> stop(WorkerInfo worker, AttemptId a, long epoch) {
+    return order(worker, a, () -> AttemptOutcome.STOPPED);
+  }
+
+  @Override
+  public CompletableFuture<Void> checkpoint(WorkerInfo worker, AttemptId a, long epoch) {
+    return order(worker, a, () -> AttemptOutcome.CHECKPOINTED);
+  }
+
+  @Override
+  public CompletableFuture<Void> throttle(WorkerInfo w, AttemptId a, long epoch, int percent) {
+    return order(w, a, () -> null);
+  }
+
+  @Override
+  public CompletableFuture<SyncReply> sync(WorkerInfo worker, SyncRequest q) {
+    FakeWorkers.Worker w = fleet.worker(worker.id());
+    return call(
+        worker,
+        q.waitMillis() + TIMEOUT_MILLIS,
+        0,
+        false,
+        (Consumer<SyncReply> answer) -> w.sync(q, answer));
+  }
+}
--- a/core/src/test/java/dev/dandelionport/core/testing/FakeWorkers.java
+++ b/core/src/test/java/dev/dandelionport/core/testing/FakeWorkers.java
@@ -11,7 +11,6 @@
 import dev.dandelionport.core.port.SyncReply;
 import dev.dandelionport.core.port.SyncRequest;
 import dev.dandelionport.core.port.WorkerClient;
-import dev.dandelionport.core.port.WorkerException;
 import dev.dandelionport.core.port.WorkerInfo;
 import dev.dandelionport.core.scheduler.AttemptOutcome;
 import java.util.ArrayList;
@@ -25,7 +24,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import java.util.function.Supplier;
 
 /**
  * The platform's workers: they run tasks under leases, check starts, and record what ran. A payload
@@ -34,9 +32,6 @@
  */
 public final class FakeWorkers {
 
-  /** Time after which a client gives up on an answer, in milliseconds. */
-  private static final long TIMEOUT_MILLIS = 1_000;
-
   /** One run of a task, as the worker saw it. */
   public static final class Run {
     public final AttemptId attempt;
@@ -66,13 +61,13 @@
   private final List<String> violations = new ArrayList<>();
   private final Map<String, Integer> limits = new HashMap<>();
   private final Map<String, Long> drained = new HashMap<>();
-  private Predicate<StartCommand> loseStartReply = c -> false;
-  private Predicate<StartCommand> delayStart = c -> false;
+  Predicate<StartCommand> loseStartReply = c -> false;
+  Predicate<StartCommand> delayStart = c -> false;
   private Consumer<StartCommand> onStart = c -> {};
   private Consumer<Run> onEnd = r -> {};
-  private double duplicates;
+  double duplicates;
   private long syncs;
-  private long delayMillis;
+  long delayMillis;
 
   public FakeWorkers(VirtualTime time) {
     this.time = time;
@@ -183,7 +178,11 @@
   }
 
   public WorkerClient client(FakeProcess p) {
-    return new Client(p);
+    return new FakeWorkerClient(this, time, p);
+  }
+
+  Worker worker(WorkerId id) {
+    return workers.get(id);
   }
 
   private void started(Run r, Worker w) {
@@ -215,7 +214,7 @@
     }
   }
 
-  private final class Worker {
+  final class Worker {
     final WorkerInfo info;
     final Map<AttemptId, Run> running = new LinkedHashMap<>();
     final Set<AttemptId> seen = new HashSet<>();
@@ -335,90 +334,4 @@
       return new SyncReply("" + incarnation, clock(), list, finished, ResourceVector.ZERO, false);
     }
   }
-
-  private final class Client implements WorkerClient {
-    private final FakeProcess process;
-
-    Client(FakeProcess process) {
-      this.process = process;
-    }
-
-    private <T> CompletableFuture<T> call(
-        WorkerInfo to, long timeout, long delay, boolean lost, Consumer<Consumer<T>> effect) {
-      CompletableFuture<T> f = new CompletableFuture<>();
-      Worker w = workers.get(to.id());
-      Runnable arrive =
-          () -> {
-            if (!w.silent && !w.cut.contains(process)) {
-              effect.accept(
-                  r -> {
-                    if (!lost && !w.silent && !w.cut.contains(process)) {
-                      time.afterNanos(time.latencyNanos(2), () -> process.run(() -> f.complete(r)));
-                    }
-                  });
-            }
-          };
-      time.afterNanos(time.latencyNanos(2) + delay * 1_000_000, arrive);
-      if (time.random().nextDouble() < duplicates) {
-        time.afterNanos(time.latencyNanos(300), arrive);
-      }
-      process.schedule(
-          timeout, () -> f.completeExceptionally(new WorkerException("no answer", null)));
-      return f;
-    }
-
-    private CompletableFuture<Void> order(WorkerInfo to, AttemptId a, Supplier<AttemptOutcome> o) {
-      Worker w = workers.get(to.id());
-      return call(
-          to,
-          TIMEOUT_MILLIS,
-          0,
-          false,
-          (Consumer<Void> answer) -> {
-            Run r = w.running.get(a);
-            if (r != null && o.get() != null) {
-              w.end(r, o.get());
-            }
-            answer.accept(null);
-          });
-    }
-
-    @Override
-    public CompletableFuture<StartReply> start(WorkerInfo worker, StartCommand c) {
-      long delay = delayStart.test(c) ? delayMillis : 0;
-      Worker w = workers.get(worker.id());
-      return call(
-          worker,
-          TIMEOUT_MILLIS,
-          delay,
-          loseStartReply.test(c),
-          (Consumer<StartReply> answer) -> answer.accept(w.start(c)));
-    }
-
-    @Override
-    public CompletableFuture<Void> stop(WorkerInfo worker, AttemptId a, long epoch) {
-      return order(worker, a, () -> AttemptOutcome.STOPPED);
-    }
-
-    @Override
-    public CompletableFuture<Void> checkpoint(WorkerInfo worker, AttemptId a, long epoch) {
-      return order(worker, a, () -> AttemptOutcome.CHECKPOINTED);
-    }
-
-    @Override
-    public CompletableFuture<Void> throttle(WorkerInfo w, AttemptId a, long epoch, int percent) {
-      return order(w, a, () -> null);
-    }
-
-    @Override
-    public CompletableFuture<SyncReply> sync(WorkerInfo worker, SyncRequest q) {
-      Worker w = workers.get(worker.id());
-      return call(
-          worker,
-          q.waitMillis() + TIMEOUT_MILLIS,
-          0,
-          false,
-          (Consumer<SyncReply> answer) -> w.sync(q, answer));
-    }
-  }
 }
--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/testing/Steps.java
@@ -0,0 +1,42 @@
+package dev.dandelionport.core.testing;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.workflow.StepSpec;
+import java.util.List;
+
+/** Steps of workflows that ask for nothing but room. */
+public final class Steps {
+
+  private Steps() {}
+
+  /** Returns a step whose tasks may work one after the other. */
+  public static StepSpec of(int tasks, ResourceVector size, long estimateMillis, Integer... after) {
+    return plain(tasks, size, estimateMillis, List.of(after), false);
+  }
+
+  /** Returns a step whose tasks only work together. */
+  public static StepSpec gang(int tasks, ResourceVector size, long estimateMillis) {
+    return plain(tasks, size, estimateMillis, List.of(), true);
+  }
+
+  private static StepSpec plain(
+      int tasks, ResourceVector size, long estimateMillis, List<Integer> after, boolean gang) {
+    return new StepSpec(
+        tasks,
+        size,
+        estimateMillis,
+        after,
+        false,
+        gang,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        false,
+        "",
+        0,
+        0);
+  }
+}
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
@@ -1,6 +1,7 @@
 package dev.dandelionport.core.workflow;
 
 import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.testing.Steps;
 import dev.dandelionport.core.workflow.ClusterPolicy.Account;
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import java.util.ArrayList;
@@ -53,43 +54,11 @@
   }
 
   static StepSpec step(int tasks, long milliCores, Integer... after) {
-    return new StepSpec(
-        tasks,
-        new ResourceVector(0, 0, milliCores, 100, 0),
-        1_000,
-        List.of(after),
-        false,
-        false,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        false,
-        "",
-        0,
-        0);
+    return Steps.of(tasks, new ResourceVector(0, 0, milliCores, 100, 0), 1_000, after);
   }
 
   static StepSpec gang(int tasks, long milliCores) {
-    return new StepSpec(
-        tasks,
-        new ResourceVector(0, 0, milliCores, 100, 0),
-        1_000,
-        List.of(),
-        false,
-        true,
-        false,
-        "",
-        "",
-        0,
-        false,
-        false,
-        false,
-        "",
-        0,
-        0);
+    return Steps.gang(tasks, new ResourceVector(0, 0, milliCores, 100, 0), 1_000);
   }
 
   void submit(String id, String queue, StepSpec... steps) {
--- a/node/src/main/java/dev/dandelionport/node/connection/EtcdStore.java
+++ b/node/src/main/java/dev/dandelionport/node/connection/EtcdStore.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
@@ -185,19 +184,12 @@
       return CompletableFuture.failedFuture(
           new StoreUnavailableException("too many calls to the store are under way", null));
     }
-    WebClient client = pool.client();
-    return client
-        .prepare()
-        .post(path)
-        .content(MediaType.JSON, body.toString())
-        .responseTimeout(HttpPool.millis(TIMEOUT_MILLIS))
-        .execute()
-        .aggregate()
+    return pool.send(
+            c -> c.prepare().post(path).content(MediaType.JSON, body.toString()), TIMEOUT_MILLIS)
         .handle(
             (r, e) -> {
               calls.decrementAndGet();
               if (e != null) {
-                pool.failed(client, e);
                 throw new StoreUnavailableException("store did not answer " + path, e);
               }
               return decode(path, r, decoder);
--- a/node/src/main/java/dev/dandelionport/node/connection/HttpInstanceList.java
+++ b/node/src/main/java/dev/dandelionport/node/connection/HttpInstanceList.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import dev.dandelionport.core.port.InstanceList;
@@ -45,18 +44,11 @@
 
   @Override
   public CompletableFuture<List<WorkerInfo>> workers(String region) {
-    WebClient client = pool.client();
-    return client
-        .prepare()
-        .get("/v1/workers")
-        .queryParam("region", region)
-        .responseTimeout(HttpPool.millis(TIMEOUT_MILLIS))
-        .execute()
-        .aggregate()
+    return pool.send(
+            c -> c.prepare().get("/v1/workers").queryParam("region", region), TIMEOUT_MILLIS)
         .handle(
             (r, e) -> {
               if (e != null) {
-                pool.failed(client, e);
                 throw new InstanceListException("instance list did not answer", e);
               }
               return parse(r);
--- a/node/src/main/java/dev/dandelionport/node/connection/HttpPool.java
+++ b/node/src/main/java/dev/dandelionport/node/connection/HttpPool.java
@@ -4,6 +4,8 @@
 import com.linecorp.armeria.client.ClientFactoryBuilder;
 import com.linecorp.armeria.client.ResponseTimeoutException;
 import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.client.WebClientRequestPreparation;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.Flags;
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.util.TransportType;
@@ -12,11 +14,11 @@
 import io.netty.handler.ssl.SslContextBuilder;
 import java.io.IOException;
 import java.nio.file.attribute.FileTime;
-import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import jdk.net.ExtendedSocketOptions;
 
 /**
@@ -135,8 +137,36 @@
     return current.client();
   }
 
+  /**
+   * Sends a request and returns its whole answer. The future fails with the HTTP library's error if
+   * there was none; connections that are to be replaced after it are replaced by then.
+   *
+   * @param request method, path and content
+   * @param timeoutMillis longest time until the answer is whole
+   */
+  public CompletableFuture<AggregatedHttpResponse> send(
+      Function<WebClient, WebClientRequestPreparation> request, long timeoutMillis) {
+    WebClient used = client();
+    CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
+    request
+        .apply(used)
+        .responseTimeoutMillis(timeoutMillis)
+        .execute()
+        .aggregate()
+        .whenComplete(
+            (r, e) -> {
+              if (e == null) {
+                answer.complete(r);
+              } else {
+                failed(used, e);
+                answer.completeExceptionally(e);
+              }
+            });
+    return answer;
+  }
+
   /** Notes how a request with {@code used} failed; replaces the connections if it timed out. */
-  public void failed(WebClient used, Throwable e) {
+  private void failed(WebClient used, Throwable e) {
     if (replacesAll && isTimeout(e) && used == current.client()) {
       replace(used);
     }
@@ -192,9 +222,4 @@
   public void close() {
     current.factory().closeAsync();
   }
-
-  /** Returns the duration of a timeout in milliseconds. */
-  public static Duration millis(long timeoutMillis) {
-    return Duration.ofMillis(timeoutMillis);
-  }
 }
--- a/node/src/main/java/dev/dandelionport/node/connection/HttpWorkerClient.java
+++ b/node/src/main/java/dev/dandelionport/node/connection/HttpWorkerClient.java
@@ -93,13 +93,7 @@
     } catch (JsonProcessingException e) {
       throw new IllegalArgumentException("cannot encode " + body.getClass().getName(), e);
     }
-    return pool.client()
-        .prepare()
-        .post(url)
-        .content(MediaType.JSON, json)
-        .responseTimeout(HttpPool.millis(timeoutMillis))
-        .execute()
-        .aggregate()
+    return pool.send(c -> c.prepare().post(url).content(MediaType.JSON, json), timeoutMillis)
         .handle(
             (r, e) -> {
               if (e != null) {
--- a/node/src/main/java/dev/dandelionport/node/request/Answers.java
+++ b/node/src/main/java/dev/dandelionport/node/request/Answers.java
@@ -18,10 +18,10 @@
 import com.linecorp.armeria.common.stream.ClosedStreamException;
 import com.linecorp.armeria.server.HttpStatusException;
 import com.linecorp.armeria.server.RequestTimeoutException;
+import dev.dandelionport.core.common.Failures;
 import dev.dandelionport.core.common.JsonProblem;
 import dev.dandelionport.core.port.StoreUnavailableException;
 import java.util.List;
-import java.util.concurrent.CompletionException;
 
 /** Writes answers; every error has the same form, which docs/API.md describes. */
 final class Answers {
@@ -93,7 +93,7 @@
   }
 
   private static RequestException translate(Throwable e) {
-    Throwable c = e instanceof CompletionException && e.getCause() != null ? e.getCause() : e;
+    Throwable c = Failures.cause(e);
     if (c instanceof RequestException r) {
       return r;
     }
--- a/node/src/main/java/dev/dandelionport/node/request/ManifestCommands.java
+++ b/node/src/main/java/dev/dandelionport/node/request/ManifestCommands.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.linecorp.armeria.common.HttpStatus;
+import dev.dandelionport.core.common.Failures;
 import dev.dandelionport.core.common.JsonCodec;
 import dev.dandelionport.core.common.JsonFields;
 import dev.dandelionport.core.common.JsonProblem;
@@ -166,7 +167,7 @@
         .commit(s, m)
         .handle(
             (r, e) -> {
-              Throwable cause = e instanceof CompletionException ? e.getCause() : e;
+              Throwable cause = Failures.cause(e);
               if (cause instanceof StoreUnavailableException) {
                 throw unknown(m);
               } else if (cause != null) {
--- a/node/src/main/java/dev/dandelionport/node/request/OperatorService.java
+++ b/node/src/main/java/dev/dandelionport/node/request/OperatorService.java
@@ -8,6 +8,7 @@
 import com.linecorp.armeria.common.util.TimeoutMode;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
+import dev.dandelionport.core.common.Failures;
 import dev.dandelionport.core.common.JobKey;
 import dev.dandelionport.core.common.PartitionId;
 import dev.dandelionport.core.common.TeamId;
@@ -30,7 +31,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -100,7 +100,7 @@
   }
 
   private void audit(String operator, String call, ObjectNode result, Throwable e) {
-    Throwable c = e instanceof CompletionException ? e.getCause() : e;
+    Throwable c = Failures.cause(e);
     if (operator.isEmpty()) {
       EventLog.log(LogEvent.OPERATOR_REFUSED, Map.of("action", call));
     } else if (c == null) {
