Extend no leases on a runner that does not answer

Cause: each try to reach a silent runner granted its leases anew, because an unanswered call may still be carried out. The time at which all leases have certainly ended moved on with each try, so runs on a runner that had left for good never counted as ended: their tasks, or the whole gang, never started again (rule LOST). Ruled out: a lost end (the runner had left and listed nothing), the advice (allowed runners were named every 2.5 s). Change: a hold extends leases only while the runner answers; the first answer is followed by one that does. Test: workOnRunnerThatNeverAnswersAgainIsStartedElsewhere fails without the change. The stand-in of the runners now also cuts holds that wait while the cut begins; before, they still delivered ends.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -164,7 +164,10 @@
     long now = context.nowMillis();
     lastSentMillis = now;
     long until = RunnerClient.NO_TIME;
-    if (clockKnown && host.mayHold() && host.scheduler().hasRuns(id())) {
+    // A call that is not answered may still extend the leases, so a silent runner gets no more of
+    // them: what runs there could otherwise never count as ended.
+    boolean answers = clockKnown && failures == 0;
+    if (answers && host.mayHold() && host.scheduler().hasRuns(id())) {
       until = until(now);
     }
     final long granted = until;
--- a/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
@@ -28,6 +28,9 @@
   private static final long RUN_MILLIS = 400;
   private static final long MAX_HOLD_MILLIS = 6_000;
 
+  /** Time after which a caller gives up a hold whose runner was cut off while it waited. */
+  private static final long CUT_MILLIS = 400;
+
   private record Present(int run, long endsMillis) {}
 
   private static final class State {
@@ -67,6 +70,14 @@
     s.lastEnd = 0;
   }
 
+  /** Returns the runners on which something runs. */
+  List<String> busy() {
+    return runners.keySet().stream()
+        .filter(id -> !runners.get(id).running.isEmpty())
+        .sorted()
+        .toList();
+  }
+
   private void advance(State s) {
     long now = time.nowMillis();
     for (TaskKey t : List.copyOf(s.running.keySet())) {
@@ -134,7 +145,7 @@
         boolean late = order && time.random().nextDouble() < latePart;
         Runnable noAnswer =
             () -> process.accept(() -> f.completeExceptionally(new WorkerException("no", null)));
-        if (cut.contains(id) || cut.contains(caller + ">" + id)) {
+        if (isCut(id)) {
           time.afterMillis(timeout, noAnswer);
         } else if (late) {
           // What waits inside a runner ends with that life of it.
@@ -214,7 +225,17 @@
         return f;
       }
 
+      private boolean isCut(String id) {
+        return cut.contains(id) || cut.contains(caller + ">" + id);
+      }
+
       private void look(String id, long deadline, CompletableFuture<HoldAnswer> f) {
+        if (isCut(id)) {
+          time.afterMillis(
+              CUT_MILLIS,
+              () -> process.accept(() -> f.completeExceptionally(new WorkerException("no", null))));
+          return;
+        }
         State s = runners.get(id);
         advance(s);
         if (s.ends.isEmpty() && time.nowMillis() < deadline) {
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -119,6 +119,21 @@
     assertThat(c.runners.broken).isEmpty();
   }
 
+  // Guards against calls to a silent runner that extend its leases without end: a task that
+  // was there never started again.
+  @Test
+  void workOnRunnerThatNeverAnswersAgainIsStartedElsewhere() {
+    WorkflowCluster c = new WorkflowCluster(6, 2);
+    c.time.runFor(2_000);
+    assertThat(await(c, c.submit(c.any(), "w", step(6))).status()).isEqualTo(WorkflowStatus.OK);
+    assertThat(c.time.runUntil(() -> c.runners.busy().size() == 2, 1_000)).isTrue();
+    c.time.runFor(30);
+    c.runners.cut.add(c.runners.busy().get(0));
+    c.time.runFor(9_000);
+    assertThat(completed(c, "w")).isTrue();
+    assertThat(c.runners.broken).isEmpty();
+  }
+
   // Guards against every combination of faults that breaks a promise: a task in two places, one
   // that starts after its acknowledged end, a runner over its room, a lost workflow.
   @ParameterizedTest
