Report when the store is lost and comes back, and renewals that fail

Change: DP5003 for a renewal that fails, DP5004 and DP5005 when a watch of the store fails and answers again.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -1,5 +1,6 @@
 package dev.dandelionport.core.dispatch;
 
+import dev.dandelionport.core.common.Failures;
 import dev.dandelionport.core.common.Shard;
 import dev.dandelionport.core.dispatch.OwnerRecord.Owner;
 import dev.dandelionport.core.port.SharedStore;
@@ -182,7 +183,7 @@
             (v, e) -> {
               if (e != null) {
                 // The lease then runs out by itself.
-                context.report(DispatchTopic.STORE_LOST, "call", "end", "error", e.toString());
+                context.report(DispatchTopic.STORE_CALL_FAILED, "call", "end", "error", e.toString());
               }
             });
   }
@@ -216,9 +217,19 @@
                     (ok, e) ->
                         shard.run(
                             () -> {
-                              if (e == null && ok) {
+                              if (e != null) {
+                                // The next try comes soon; without any the lease runs out.
+                                context.report(
+                                    DispatchTopic.STORE_CALL_FAILED,
+                                    "call",
+                                    "renew",
+                                    "millis",
+                                    context.nowMillis() - now,
+                                    "error",
+                                    Failures.cause(e).toString());
+                              } else if (ok) {
                                 renewed.accept(now);
-                              } else if (e == null && owner.equals(Optional.of(mine))) {
+                              } else if (owner.equals(Optional.of(mine))) {
                                 lose(mine);
                               }
                             })));
--- a/core/src/main/java/dev/dandelionport/core/dispatch/PrefixWatch.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/PrefixWatch.java
@@ -30,6 +30,7 @@
   private boolean listed;
   private boolean stopped;
   private boolean failing;
+  private long failingSinceMillis;
 
   /** When the last call was sent that showed the copy to be complete; {@code MIN_VALUE}: none. */
   private long confirmedMillis = Long.MIN_VALUE;
@@ -81,7 +82,7 @@
       return;
     }
     if (e != null) {
-      failing = true;
+      fails(e, sent);
       again(this::list);
       return;
     }
@@ -89,7 +90,7 @@
     p.entries().forEach(x -> entries.put(x.key(), x));
     revision = p.revision();
     listed = true;
-    failing = false;
+    answers();
     confirmedMillis = sent;
     listener.run();
     follow();
@@ -113,7 +114,7 @@
       return;
     }
     if (e != null) {
-      failing = true;
+      fails(e, sent);
       if (Failures.cause(e) instanceof HistoryLostException) {
         list();
       } else {
@@ -121,7 +122,7 @@
       }
       return;
     }
-    failing = false;
+    answers();
     confirmedMillis = Math.max(confirmedMillis, sent);
     for (Change x : c.changes()) {
       if (x.deleted()) {
@@ -137,6 +138,23 @@
     follow();
   }
 
+  private void fails(Throwable e, long sent) {
+    if (!failing) {
+      failing = true;
+      failingSinceMillis = sent;
+      context.report(
+          DispatchTopic.STORE_LOST, "prefix", prefix, "error", Failures.cause(e).toString());
+    }
+  }
+
+  private void answers() {
+    if (failing) {
+      failing = false;
+      long millis = context.nowMillis() - failingSinceMillis;
+      context.report(DispatchTopic.STORE_BACK, "prefix", prefix, "outageMillis", millis);
+    }
+  }
+
   private void again(Runnable action) {
     context.later(
         shard,
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -106,7 +106,7 @@
       return;
     }
     if (e != null) {
-      context.report(DispatchTopic.STORE_LOST, "call", "history", "error", String.valueOf(e));
+      context.report(DispatchTopic.STORE_CALL_FAILED, "call", "history", "error", String.valueOf(e));
       shard.afterwards(() -> context.timer().schedule(TICK_MILLIS, this::read));
       return;
     }
--- a/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
+++ b/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
@@ -21,7 +21,9 @@
       case OWNER_SEEN -> LogEvent.WORKFLOW_OWNER;
       case POLICY_IN_FORCE -> LogEvent.POLICY_IN_FORCE;
       case DOMAINS_CLOSED -> LogEvent.DOMAINS_CLOSED;
-      case STORE_LOST -> LogEvent.STORE_CALL_FAILED;
+      case STORE_CALL_FAILED -> LogEvent.STORE_CALL_FAILED;
+      case STORE_LOST -> LogEvent.STORE_OUTAGE_BEGAN;
+      case STORE_BACK -> LogEvent.STORE_OUTAGE_ENDED;
       case RUNNER_SILENT -> LogEvent.RUNNER_SILENT;
       case RUNNER_BACK -> LogEvent.RUNNER_BACK;
       case RUNNER_LAPSED -> LogEvent.RUNNER_LAPSED;
