Skip steps that cannot start before looking at the runners for them

Cause: each pass of the placement looked at all runners for up to 200 waiting steps. A backlog of 200 steps that fit nowhere also hid all later work from the pass. Ruled out: slow store (no call failed; DP4006 names no error), lost renewals (DP5003 did not appear). Change: steps at their account's ceiling, and steps of lower priority that are larger than the largest room left, are skipped first; a step with advice looks only at runners it has tickets for; steps are ranked without a sort. Test: workThatFitsNowhereDoesNotHideWorkThatFits fails without the change.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -4,10 +4,7 @@
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 /** Chooses runners for the tasks of the steps whose turn has come. */
 final class Placement {
@@ -37,6 +34,7 @@
   private final GangPlacement gangs;
   private final Preemption preemption;
   private final Headroom headroom;
+  private final LargestRoom room;
 
   Placement(Cell cell, Runs runs, AdviceBook advice) {
     this.cell = cell;
@@ -45,6 +43,7 @@
     this.gangs = new GangPlacement(cell, runs, this);
     this.preemption = new Preemption(cell, runs);
     this.headroom = new Headroom(cell);
+    this.room = new LargestRoom(cell, headroom);
   }
 
   /** Starts what fits, in order. */
@@ -52,49 +51,56 @@
     int looked = 0;
     advice.clear();
     headroom.update();
+    room.update();
     for (Step s : order()) {
       if (looked == MAX_STEPS) {
         break;
       }
       Queue q = cell.queueOf(s);
-      if (q == null) {
+      if (q == null || isAtCeiling(s) || !s.hasStartable(cell.now)) {
         continue;
       }
-      List<Task> tasks = s.startable(cell.now);
-      if (tasks.isEmpty()) {
+      if (q.priority() > 0 && s.gangRun == 0 && !room.mayFit(s, q)) {
         continue;
       }
       looked++;
       List<Runner> candidates = candidates(s, q);
+      List<Task> tasks = s.startable(cell.now);
       if (s.spec.gang()) {
         gangs.place(s, q, tasks, candidates);
       } else {
         placeEach(s, q, tasks, candidates);
       }
-      if (!s.startable(cell.now).isEmpty()) {
-        boolean ceiling = cell.allowedByCeiling(s) < (s.spec.gang() ? s.spec.tasks() : 1);
-        if (!ceiling) {
-          advice.want(s);
-          if (q.priority() == 0) {
-            preemption.makeRoom(s, q, candidates);
-          }
+      if (s.hasStartable(cell.now) && !isAtCeiling(s)) {
+        advice.want(s);
+        if (q.priority() == 0) {
+          preemption.makeRoom(s, q, candidates);
         }
       }
     }
   }
 
+  /** Returns whether the account's ceiling keeps the step from starting anything. */
+  private boolean isAtCeiling(Step s) {
+    // A gang that has started must be dealt with also when its missing members may not start.
+    return s.gangRun == 0 && cell.allowedByCeiling(s) < (s.spec.gang() ? s.spec.tasks() : 1);
+  }
+
   /**
    * Returns the steps in the order in which they get room. Work that can still be in time goes
    * before work that is late anyway, and both before what an account sends beyond its weight.
    */
   private List<Step> order() {
-    List<Step> steps = new ArrayList<>(cell.ready);
-    Map<Step, Integer> ranks = new HashMap<>();
-    for (Step s : steps) {
-      ranks.put(s, rank(s));
+    List<List<Step>> ranks = new ArrayList<>();
+    for (int i = 0; i <= WORTHLESS; i++) {
+      ranks.add(new ArrayList<>());
     }
-    // The sort is stable: within a rank, priority and due time decide.
-    steps.sort(Comparator.comparingInt(ranks::get));
+    // Within a rank, priority and due time decide: the order of the set.
+    for (Step s : cell.ready) {
+      ranks.get(rank(s)).add(s);
+    }
+    List<Step> steps = new ArrayList<>(cell.ready.size());
+    ranks.forEach(steps::addAll);
     return steps;
   }
 
@@ -113,8 +119,17 @@
   /** Returns the runners that may run a step now, whether or not there is room. */
   private List<Runner> candidates(Step s, Queue q) {
     List<Runner> list = new ArrayList<>();
+    if (q.advice().isPresent()) {
+      for (String id : s.tickets.keySet()) {
+        Runner r = cell.runners.get(id);
+        if (r != null && isUsable(r, s, q) && hasTicket(s, r)) {
+          list.add(r);
+        }
+      }
+      return list;
+    }
     for (Runner r : cell.runners.values()) {
-      if (isUsable(r, s, q) && (q.advice().isEmpty() || hasTicket(s, r))) {
+      if (isUsable(r, s, q)) {
         list.add(r);
       }
     }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Step.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Step.java
@@ -1,11 +1,11 @@
 package dev.dandelionport.core.workflow;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 /** One step of one occurrence of a workflow. */
 final class Step {
@@ -24,8 +24,8 @@
   /** When the step's turn came, on the owner's steady clock; -1 if it has not. */
   long readyMillis = -1;
 
-  /** Tickets by runner. */
-  final Map<String, Ticket> tickets = new HashMap<>();
+  /** Tickets by runner, in the order of the runners' names. */
+  final Map<String, Ticket> tickets = new TreeMap<>();
 
   /** Runners that may run the step; the answer never changes. */
   final Set<String> allowed = new HashSet<>();
@@ -99,6 +99,16 @@
     return list;
   }
 
+  /** Returns whether a task waits and may be tried now. */
+  boolean hasStartable(long now) {
+    for (Task t : tasks) {
+      if (t.waits() && t.retryMillis <= now) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   boolean hasRuns() {
     for (Task t : tasks) {
       if (t.run != null) {
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowSchedulerTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowSchedulerTest.java
@@ -45,6 +45,18 @@
     assertThat(cell.starts()).hasSize(3).allMatch(s -> s.run() == 1);
   }
 
+  // A pass looks at a bounded number of steps; a backlog of steps that fit nowhere used it up, and
+  // work that fitted was not even looked at.
+  @Test
+  void workThatFitsNowhereDoesNotHideWorkThatFits() {
+    for (int i = 0; i < 250; i++) {
+      cell.submit("big" + i, "batch", WorkflowFixture.step(1, 16_000));
+    }
+    assertThat(cell.starts()).isEmpty();
+    cell.submit("small", "batch", WorkflowFixture.step(1, 100));
+    assertThat(cell.starts()).extracting(s -> s.task().workflow()).containsExactly("small");
+  }
+
   // A gang's failure was lost when the end of another member was listed first, and it ran too
   // often.
   @Test
