Send at most three orders at a time to a runner, and bound the passes' share of the time

Cause: a new owner sent all starts of a batch to a runner at once, each on a connection of its own. Change: orders wait in the runner's link while three are under way; a start is checked once more when it leaves, stops go first, and another life of the runner drops what was meant for the earlier one. A pass of the placement waits eight times as long as the last one took. Tests: runnerGetsFewOrdersAtTheSameTime fails without the change.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -183,7 +183,8 @@
             (v, e) -> {
               if (e != null) {
                 // The lease then runs out by itself.
-                context.report(DispatchTopic.STORE_CALL_FAILED, "call", "end", "error", e.toString());
+                context.report(
+                    DispatchTopic.STORE_CALL_FAILED, "call", "end", "error", e.toString());
               }
             });
   }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -10,6 +10,9 @@
 import dev.dandelionport.core.workflow.StartResult;
 import dev.dandelionport.core.workflow.TaskKey;
 import dev.dandelionport.core.workflow.WorkflowScheduler;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
 
 /**
  * Talks to one runner: keeps a hold waiting there while something runs on it, gives orders, and
@@ -38,6 +41,12 @@
   /** Age of a report from which another life of the runner may have begun, in milliseconds. */
   private static final long FRESH_MILLIS = 300;
 
+  /**
+   * Most orders under way to the runner. Each needs a connection of its own, and a new owner that
+   * opened one for every start of a batch was busy with that for seconds.
+   */
+  private static final int MAX_ORDERS = 3;
+
   /** What the link needs of its owner. */
   interface Host {
     WorkflowScheduler scheduler();
@@ -85,6 +94,10 @@
   /** Whether ends were listed whose records are not durable yet. */
   private boolean endsPending;
 
+  /** Orders that wait for one under way to be answered; each calls {@link #orderDone} once. */
+  private final Deque<Runnable> orders = new ArrayDeque<>();
+
+  private int ordersUnderWay;
   private long notBeforeMillis;
   private long reportedMillis;
   private long lastSentMillis;
@@ -221,6 +234,8 @@
       lastEnd = 0;
       ackedEnd = 0;
       ackUnheard = false;
+      // They were meant for the earlier life; the scheduler gives their runs up.
+      orders.clear();
     }
     if (failures > 0 && silentReported) {
       context.report(DispatchTopic.RUNNER_BACK, "runner", id(), "failures", failures);
@@ -274,10 +289,34 @@
     wake();
   }
 
-  /** Sends a start whose record is durable. */
-  void start(StartOrder order) {
+  /** Sends a start whose record is durable, unless the run may no longer start by then. */
+  void start(TaskKey task, int run) {
+    orders.add(() -> sendStart(task, run));
+    sendOrders();
+  }
+
+  private void sendOrders() {
+    while (ordersUnderWay < MAX_ORDERS && !orders.isEmpty()) {
+      ordersUnderWay++;
+      orders.poll().run();
+    }
+  }
+
+  private void orderDone() {
+    ordersUnderWay--;
+    sendOrders();
+  }
+
+  private void sendStart(TaskKey task, int run) {
+    Optional<StartOrder> order = host.scheduler().mayStillStart(task, run, id());
+    if (order.isEmpty()) {
+      ordersUnderWay--;
+      host.decided();
+      return;
+    }
     if (!clockKnown) {
-      startAnswered(order, StartResult.UNHEALTHY, RunnerClient.NO_TIME);
+      ordersUnderWay--;
+      startAnswered(order.get(), StartResult.UNHEALTHY, RunnerClient.NO_TIME);
       return;
     }
     long until = until(context.nowMillis());
@@ -286,11 +325,12 @@
         () ->
             context
                 .runners()
-                .start(to, order, until, token, START_MILLIS)
-                .whenComplete((a, e) -> shard.run(() -> started(order, a, e))));
+                .start(to, order.get(), until, token, START_MILLIS)
+                .whenComplete((a, e) -> shard.run(() -> started(order.get(), a, e))));
   }
 
   private void started(StartOrder order, StartAnswer a, Throwable e) {
+    orderDone();
     if (e != null) {
       startAnswered(order, StartResult.UNKNOWN, RunnerClient.NO_TIME);
     } else {
@@ -311,11 +351,16 @@
     wake();
   }
 
-  /** Sends a stop. */
+  /** Sends a stop, before starts that wait. */
   void stop(TaskKey task, int run) {
     if (address.hostPort().isEmpty()) {
       return;
     }
+    orders.addFirst(() -> sendStop(task, run));
+    sendOrders();
+  }
+
+  private void sendStop(TaskKey task, int run) {
     Address to = address;
     shard.afterwards(
         () ->
@@ -326,6 +371,7 @@
   }
 
   private void stopped(TaskKey task, int run, Boolean ok, Throwable e) {
+    orderDone();
     if (e != null || host.isEnded()) {
       // The scheduler sends it again while the run is not known to have ended.
       return;
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -57,7 +57,9 @@
     this.context = context;
     this.shard =
         new Shard(
-            e -> context.report(DispatchTopic.STORE_CALL_FAILED, "call", "outgoing", "error", "" + e));
+            e ->
+                context.report(
+                    DispatchTopic.STORE_CALL_FAILED, "call", "outgoing", "error", "" + e));
     this.election = new OwnerElection(context, shard, this::ownerChanged);
     this.router = new OwnerRouter(context, this::callHere, this::peerOwner);
   }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -8,7 +8,6 @@
 import dev.dandelionport.core.port.InstanceInfo;
 import dev.dandelionport.core.port.RunnerClient.Address;
 import dev.dandelionport.core.workflow.AdviceRequest;
-import dev.dandelionport.core.workflow.StartOrder;
 import dev.dandelionport.core.workflow.WorkflowDecision;
 import dev.dandelionport.core.workflow.WorkflowEffect;
 import dev.dandelionport.core.workflow.WorkflowRecord;
@@ -19,8 +18,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Owns all workflows for as long as its key in the store stands: rebuilds them, then schedules. One
@@ -34,6 +33,9 @@
   /** Shortest time between two passes of the placement, in milliseconds. */
   private static final long PASS_MILLIS = 4;
 
+  /** How many times as long as a pass took the next one waits; bounds their share of the time. */
+  private static final long PASS_PARTS = 8;
+
   /** Interval at which workflows that ended long ago are forgotten, in milliseconds. */
   private static final long FORGET_MILLIS = 5_000;
 
@@ -65,7 +67,7 @@
   private boolean open;
   private boolean ended;
   private boolean passScheduled;
-  private long passMillis;
+  private long nextPassMillis;
   private long forgetMillis;
   private long storeSeenMillis;
 
@@ -106,7 +108,8 @@
       return;
     }
     if (e != null) {
-      context.report(DispatchTopic.STORE_CALL_FAILED, "call", "history", "error", String.valueOf(e));
+      context.report(
+          DispatchTopic.STORE_CALL_FAILED, "call", "history", "error", String.valueOf(e));
       shard.afterwards(() -> context.timer().schedule(TICK_MILLIS, this::read));
       return;
     }
@@ -210,13 +213,13 @@
       return;
     }
     long now = context.nowMillis();
-    if (now - passMillis >= PASS_MILLIS) {
+    if (now >= nextPassMillis) {
       pass();
     } else if (!passScheduled) {
       passScheduled = true;
       context.later(
           shard,
-          PASS_MILLIS,
+          nextPassMillis - now,
           () -> {
             passScheduled = false;
             if (!ended) {
@@ -228,10 +231,13 @@
 
   private void pass() {
     now();
-    passMillis = context.nowMillis();
+    long begun = context.time().monotonicNanos();
     scheduler.place();
     take();
     lanes.fill(scheduler::nextAsk);
+    long end = context.time().monotonicNanos();
+    long gap = Math.max(PASS_MILLIS, TimeUnit.NANOSECONDS.toMillis(PASS_PARTS * (end - begun)));
+    nextPassMillis = TimeUnit.NANOSECONDS.toMillis(begun) + gap;
   }
 
   /** Carries out what was decided since the last call. */
@@ -272,11 +278,7 @@
     storeSeenMillis = context.nowMillis();
     for (WorkflowEffect e : effects) {
       if (e instanceof WorkflowEffect.Start s) {
-        Optional<StartOrder> order = scheduler().mayStillStart(s.task(), s.run(), s.runner());
-        order.ifPresent(o -> link(s.runner()).start(o));
-        if (order.isEmpty()) {
-          decided();
-        }
+        link(s.runner()).start(s.task(), s.run());
       } else if (e instanceof WorkflowEffect.Show s) {
         scheduler.shown(s.workflow(), s.state());
       }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
@@ -37,6 +37,13 @@
     final Map<TaskKey, Present> running = new LinkedHashMap<>();
     final Map<TaskKey, Integer> barred = new HashMap<>();
     final List<RunnerReport.End> ends = new ArrayList<>();
+
+    /**
+     * Ends before the latest lapse of the lease. An owner may have started their tasks elsewhere
+     * meanwhile, so that their acknowledgement no longer bars another start.
+     */
+    final Set<Long> lapsedEnds = new HashSet<>();
+
     long born = 1;
     long token;
     long untilMillis;
@@ -51,6 +58,11 @@
   double latePart;
   int starts;
 
+  /** Most orders that were under way to one runner at the same time. */
+  int mostOrders;
+
+  private final Map<String, Integer> orders = new HashMap<>();
+
   FakeRunners(VirtualTime time, int count) {
     this.time = time;
     for (int i = 0; i < count; i++) {
@@ -64,6 +76,7 @@
     s.running.clear();
     s.barred.clear();
     s.ends.clear();
+    s.lapsedEnds.clear();
     s.born++;
     s.token = 0;
     s.untilMillis = 0;
@@ -88,6 +101,9 @@
         end(s, t, p.run(), RunEnd.LAPSED);
       }
     }
+    if (s.untilMillis <= now) {
+      s.ends.forEach(e -> s.lapsedEnds.add(e.number()));
+    }
   }
 
   private void end(State s, TaskKey t, int run, RunEnd how) {
@@ -142,6 +158,10 @@
       private <T> CompletableFuture<T> call(
           String id, boolean order, long timeout, Supplier<T> action) {
         CompletableFuture<T> f = new CompletableFuture<>();
+        if (order) {
+          mostOrders = Math.max(mostOrders, orders.merge(id, 1, Integer::sum));
+          f.whenComplete((x, e) -> orders.merge(id, -1, Integer::sum));
+        }
         boolean late = order && time.random().nextDouble() < latePart;
         Runnable noAnswer =
             () -> process.accept(() -> f.completeExceptionally(new WorkerException("no", null)));
@@ -263,7 +283,7 @@
     for (RunnerReport.End e : List.copyOf(s.ends)) {
       if (e.number() <= acked) {
         s.ends.remove(e);
-        if (e.how() == RunEnd.DONE) {
+        if (e.how() == RunEnd.DONE && !s.lapsedEnds.contains(e.number())) {
           done.add(e.task());
         }
       }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -119,6 +119,17 @@
     assertThat(c.runners.broken).isEmpty();
   }
 
+  // A new owner opened a connection for each start of a batch, and was busy with that for seconds.
+  @Test
+  void runnerGetsFewOrdersAtTheSameTime() {
+    WorkflowCluster c = new WorkflowCluster(7, 2);
+    c.time.runFor(2_000);
+    assertThat(await(c, c.submit(c.any(), "w", step(20))).status()).isEqualTo(WorkflowStatus.OK);
+    c.time.runFor(2_000);
+    assertThat(completed(c, "w")).isTrue();
+    assertThat(c.runners.mostOrders).isBetween(2, 3);
+  }
+
   // Guards against calls to a silent runner that extend its leases without end: a task that
   // was there never started again.
   @Test
