Count an order of the runners' stand-in as over before its caller goes on

The check was wrong, not the code; its bound is unchanged, and it fails when the limit is raised to 300.

--- a/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
@@ -158,9 +158,10 @@
       private <T> CompletableFuture<T> call(
           String id, boolean order, long timeout, Supplier<T> action) {
         CompletableFuture<T> f = new CompletableFuture<>();
+        CompletableFuture<T> result = f;
         if (order) {
           mostOrders = Math.max(mostOrders, orders.merge(id, 1, Integer::sum));
-          f.whenComplete((x, e) -> orders.merge(id, -1, Integer::sum));
+          result = f.whenComplete((x, e) -> orders.merge(id, -1, Integer::sum));
         }
         boolean late = order && time.random().nextDouble() < latePart;
         Runnable noAnswer =
@@ -183,12 +184,12 @@
           time.afterNanos(
               time.latencyNanos(3),
               () -> {
-                T result = action.get();
+                T value = action.get();
                 time.afterNanos(
-                    time.latencyNanos(3), () -> process.accept(() -> f.complete(result)));
+                    time.latencyNanos(3), () -> process.accept(() -> f.complete(value)));
               });
         }
-        return f;
+        return result;
       }
 
       @Override
