--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
@@ -48,7 +48,7 @@
   private static final int PART_RECORDS = 1_000;
 
   /** Age of a batch from which it is reported as slow, in milliseconds. */
-  private static final long SLOW_MILLIS = 400;
+  private static final long SLOW_MILLIS = 500;
 
   /** Two conditions and one write leave this many deletions in a batch's transaction. */
   private static final int DELETES = SharedStore.MAX_TRANSACTION - 3;
