Add a command that tells the story of a request from several logs

Cause: docs/OPERATIONS.md had no way from a request's id to its cause on the users' platform; the logs of nine processes had to be searched by hand. Change: dandelionport trace ID FILE... orders all lines that name the request and marks what changed for all requests meanwhile.

--- a/cli/src/main/java/dev/dandelionport/cli/Main.java
+++ b/cli/src/main/java/dev/dandelionport/cli/Main.java
@@ -82,6 +82,7 @@
     b.withCommand(LoadCommand.class);
     b.withCommand(StatusCommand.class);
     b.withCommand(ExplainCommand.class);
+    b.withCommand(TraceCommand.class);
     b.withGroup("manifest")
         .withDescription("Checks, compares, commits and shows manifests")
         .withDefaultCommand(ManifestCommand.Show.class)
--- /dev/null
+++ b/cli/src/main/java/dev/dandelionport/cli/TraceCommand.java
@@ -0,0 +1,50 @@
+package dev.dandelionport.cli;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+
+/** Prints what the logs of several processes say about one request. */
+@Command(
+    name = "trace",
+    description = "Prints what log files say about a request, in the order of time")
+public final class TraceCommand implements Callable<Integer> {
+
+  @Arguments(
+      title = {"id", "file"},
+      description = "Id of the request, then log files of one or more processes")
+  @Required
+  private List<String> words;
+
+  @Override
+  public Integer call() {
+    if (words.size() < 2) {
+      throw new CommandException(ExitStatus.USAGE, "trace takes an id and at least one log file");
+    }
+    LogStory story = new LogStory(words.get(0));
+    for (String name : words.subList(1, words.size())) {
+      Path file = Path.of(name);
+      // A log may hold bytes that are not UTF-8; they must not hide the rest of it.
+      try (Stream<String> lines = Files.lines(file, StandardCharsets.ISO_8859_1)) {
+        lines.forEach(l -> story.add(file.getFileName().toString(), l));
+      } catch (IOException | UncheckedIOException e) {
+        throw new CommandException(ExitStatus.USAGE, "cannot read " + name + ": " + e.getMessage());
+      }
+    }
+    List<String> told = story.tell();
+    if (told.isEmpty()) {
+      System.err.println("no line of the files names " + words.get(0));
+      return ExitStatus.REFUSED;
+    }
+    told.forEach(System.out::println);
+    return ExitStatus.DONE;
+  }
+}
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -231,7 +231,7 @@
 
   private void pass() {
     now();
-    long begun = context.time().monotonicNanos();
+    final long begun = context.time().monotonicNanos();
     scheduler.place();
     take();
     lanes.fill(scheduler::nextAsk);
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -48,10 +48,10 @@
 
   /** Starts what fits, in order. */
   void pass() {
-    int looked = 0;
     advice.clear();
     headroom.update();
     room.update();
+    int looked = 0;
     for (Step s : order()) {
       if (looked == MAX_STEPS) {
         break;
