--- a/cli/src/main/java/dev/dandelionport/cli/LogStory.java
+++ b/cli/src/main/java/dev/dandelionport/cli/LogStory.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.dandelionport.node.process.LogEvent;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
@@ -11,6 +12,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Collects from the logs of several processes what they say about one request, and what changed for
@@ -23,8 +26,18 @@
    * starts and stops.
    */
   private static final Set<String> SHARED =
-      Set.of(
-          "DP1001", "DP1003", "DP2014", "DP2015", "DP2016", "DP3007", "DP3009", "DP5004", "DP5005");
+      Stream.of(
+              LogEvent.INSTANCE_STARTING,
+              LogEvent.INSTANCE_STOPPING,
+              LogEvent.WORKFLOWS_REBUILT,
+              LogEvent.WORKFLOWS_SERVED,
+              LogEvent.WORKFLOWS_LOST,
+              LogEvent.POLICY_IN_FORCE,
+              LogEvent.DOMAINS_CLOSED,
+              LogEvent.STORE_OUTAGE_BEGAN,
+              LogEvent.STORE_OUTAGE_ENDED)
+          .map(LogEvent::number)
+          .collect(Collectors.toUnmodifiableSet());
 
   private static final Set<String> UNSHOWN = Set.of("time", "level", "logger", "message", "event");
 
@@ -71,12 +84,12 @@
 
   /** Returns the story, one event a line; empty if no log names the request. */
   List<String> tell() {
-    List<Line> own = lines.stream().filter(Line::own).toList();
+    List<Instant> own = lines.stream().filter(Line::own).map(Line::time).sorted().toList();
     if (own.isEmpty()) {
       return List.of();
     }
-    Instant first = own.stream().map(Line::time).min(Comparator.naturalOrder()).orElseThrow();
-    Instant last = own.stream().map(Line::time).max(Comparator.naturalOrder()).orElseThrow();
+    Instant first = own.get(0);
+    Instant last = own.get(own.size() - 1);
     return lines.stream()
         .filter(l -> !l.time().isBefore(first) && !l.time().isAfter(last))
         .sorted(Comparator.comparing(Line::time))
--- a/core/src/main/java/dev/dandelionport/core/common/ResourceVector.java
+++ b/core/src/main/java/dev/dandelionport/core/common/ResourceVector.java
@@ -35,6 +35,16 @@
         accelerators - o.accelerators);
   }
 
+  /** Returns the larger of each component. */
+  public ResourceVector max(ResourceVector o) {
+    return new ResourceVector(
+        Math.max(slots, o.slots),
+        Math.max(connections, o.connections),
+        Math.max(milliCores, o.milliCores),
+        Math.max(memoryMb, o.memoryMb),
+        Math.max(accelerators, o.accelerators));
+  }
+
   /** Returns this vector multiplied by {@code n}. */
   public ResourceVector times(int n) {
     return new ResourceVector(
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -13,6 +13,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * Talks to one runner: keeps a hold waiting there while something runs on it, gives orders, and
@@ -94,8 +95,11 @@
   /** Whether ends were listed whose records are not durable yet. */
   private boolean endsPending;
 
-  /** Orders that wait for one under way to be answered; each calls {@link #orderDone} once. */
-  private final Deque<Runnable> orders = new ArrayDeque<>();
+  /**
+   * Orders that wait for one under way to be answered. Each returns whether it has sent a call;
+   * {@link #orderDone} is called with the answer.
+   */
+  private final Deque<BooleanSupplier> orders = new ArrayDeque<>();
 
   private int ordersUnderWay;
   private long notBeforeMillis;
@@ -297,8 +301,9 @@
 
   private void sendOrders() {
     while (ordersUnderWay < MAX_ORDERS && !orders.isEmpty()) {
-      ordersUnderWay++;
-      orders.poll().run();
+      if (orders.poll().getAsBoolean()) {
+        ordersUnderWay++;
+      }
     }
   }
 
@@ -307,17 +312,15 @@
     sendOrders();
   }
 
-  private void sendStart(TaskKey task, int run) {
+  private boolean sendStart(TaskKey task, int run) {
     Optional<StartOrder> order = host.scheduler().mayStillStart(task, run, id());
     if (order.isEmpty()) {
-      ordersUnderWay--;
       host.decided();
-      return;
+      return false;
     }
     if (!clockKnown) {
-      ordersUnderWay--;
       startAnswered(order.get(), StartResult.UNHEALTHY, RunnerClient.NO_TIME);
-      return;
+      return false;
     }
     long until = until(context.nowMillis());
     Address to = address;
@@ -327,6 +330,7 @@
                 .runners()
                 .start(to, order.get(), until, token, START_MILLIS)
                 .whenComplete((a, e) -> shard.run(() -> started(order.get(), a, e))));
+    return true;
   }
 
   private void started(StartOrder order, StartAnswer a, Throwable e) {
@@ -360,7 +364,7 @@
     sendOrders();
   }
 
-  private void sendStop(TaskKey task, int run) {
+  private boolean sendStop(TaskKey task, int run) {
     Address to = address;
     shard.afterwards(
         () ->
@@ -368,6 +372,7 @@
                 .runners()
                 .stop(to, task, run, token, CALL_MILLIS)
                 .whenComplete((ok, e) -> shard.run(() -> stopped(task, run, ok, e))));
+    return true;
   }
 
   private void stopped(TaskKey task, int run, Boolean ok, Throwable e) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/LargestRoom.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/LargestRoom.java
@@ -11,22 +11,11 @@
  */
 final class LargestRoom {
 
-  /** Most cores and most memory that any runner of a service has left; not of the same runner. */
-  private static final class Room {
-    long milliCores;
-    long memoryMb;
-    int accelerators;
-
-    void add(ResourceVector free) {
-      milliCores = Math.max(milliCores, free.milliCores());
-      memoryMb = Math.max(memoryMb, free.memoryMb());
-      accelerators = Math.max(accelerators, free.accelerators());
-    }
-  }
-
   private final Cell cell;
   private final Headroom headroom;
-  private final Map<String, Room> rooms = new HashMap<>();
+
+  /** Most of each resource that any runner of a service has left; not all of the same runner. */
+  private final Map<String, ResourceVector> rooms = new HashMap<>();
 
   LargestRoom(Cell cell, Headroom headroom) {
     this.cell = cell;
@@ -38,20 +27,15 @@
     rooms.clear();
     for (Runner r : cell.runners.values()) {
       if (r.listed && r.fenced && !r.silent) {
-        rooms
-            .computeIfAbsent(r.info.service(), k -> new Room())
-            .add(r.free().minus(headroom.keptFree(r)));
+        ResourceVector free = r.free().minus(headroom.keptFree(r));
+        rooms.merge(r.info.service(), free.max(ResourceVector.ZERO), ResourceVector::max);
       }
     }
   }
 
   /** Returns whether a runner may have room for a task of a step that is not urgent. */
   boolean mayFit(Step s, Queue q) {
-    Room room = rooms.get(q.service());
-    ResourceVector size = s.spec.reserved();
-    return room != null
-        && size.milliCores() <= room.milliCores
-        && size.memoryMb() <= room.memoryMb
-        && size.accelerators() <= room.accelerators;
+    ResourceVector room = rooms.get(q.service());
+    return room != null && s.spec.reserved().fitsIn(room);
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -46,6 +46,10 @@
     this.room = new LargestRoom(cell, headroom);
   }
 
+  GangPlacement gangs() {
+    return gangs;
+  }
+
   /** Starts what fits, in order. */
   void pass() {
     advice.clear();
--- a/core/src/main/java/dev/dandelionport/core/workflow/Step.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Step.java
@@ -92,7 +92,7 @@
   List<Task> startable(long now) {
     List<Task> list = new ArrayList<>();
     for (Task t : tasks) {
-      if (t.waits() && t.retryMillis <= now) {
+      if (t.mayStart(now)) {
         list.add(t);
       }
     }
@@ -102,7 +102,7 @@
   /** Returns whether a task waits and may be tried now. */
   boolean hasStartable(long now) {
     for (Task t : tasks) {
-      if (t.waits() && t.retryMillis <= now) {
+      if (t.mayStart(now)) {
         return true;
       }
     }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Task.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Task.java
@@ -31,4 +31,9 @@
   boolean waits() {
     return !done && run == null;
   }
+
+  /** Returns whether it waits and may be tried now. */
+  boolean mayStart(long now) {
+    return waits() && retryMillis <= now;
+  }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -27,7 +27,6 @@
   private final Runs runs;
   private final AdviceBook advice;
   private final Placement placement;
-  private final GangPlacement gangs;
   private final RunnerReports reports;
   private final Starts starts;
   private final Watchdog watchdog;
@@ -41,10 +40,9 @@
     advice = new AdviceBook(cell);
     placement = new Placement(cell, runs, advice);
     advice.use(placement);
-    gangs = new GangPlacement(cell, runs, placement);
     reports = new RunnerReports(cell, runs);
     starts = new Starts(cell, runs, reports, advice);
-    watchdog = new Watchdog(cell, runs, gangs, advice);
+    watchdog = new Watchdog(cell, runs, placement.gangs(), advice);
     replay = new WorkflowReplay(cell, runs);
   }
 
--- a/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
@@ -112,6 +112,11 @@
     s.ends.add(new RunnerReport.End(++s.lastEnd, t, run, how, ""));
   }
 
+  /** Extends the leases; {@link RunnerClient#NO_TIME} is before every time and changes nothing. */
+  private void grant(State s, long until) {
+    s.untilMillis = Math.max(s.untilMillis, Math.min(until, time.nowMillis() + MAX_HOLD_MILLIS));
+  }
+
   private StartResult start(String id, StartOrder o, long until, long token) {
     State s = runners.get(id);
     runners.values().forEach(this::advance);
@@ -119,7 +124,7 @@
       return StartResult.FENCED;
     }
     s.token = token;
-    s.untilMillis = Math.max(s.untilMillis, Math.min(until, time.nowMillis() + MAX_HOLD_MILLIS));
+    grant(s, until);
     Present p = s.running.get(o.task());
     if (p != null && p.run() == o.run()) {
       return StartResult.PRESENT;
@@ -164,8 +169,7 @@
           result = f.whenComplete((x, e) -> orders.merge(id, -1, Integer::sum));
         }
         boolean late = order && time.random().nextDouble() < latePart;
-        Runnable noAnswer =
-            () -> process.accept(() -> f.completeExceptionally(new WorkerException("no", null)));
+        Runnable noAnswer = noAnswer(f);
         if (isCut(id)) {
           time.afterMillis(timeout, noAnswer);
         } else if (late) {
@@ -246,15 +250,17 @@
         return f;
       }
 
+      private Runnable noAnswer(CompletableFuture<?> f) {
+        return () -> process.accept(() -> f.completeExceptionally(new WorkerException("no", null)));
+      }
+
       private boolean isCut(String id) {
         return cut.contains(id) || cut.contains(caller + ">" + id);
       }
 
       private void look(String id, long deadline, CompletableFuture<HoldAnswer> f) {
         if (isCut(id)) {
-          time.afterMillis(
-              CUT_MILLIS,
-              () -> process.accept(() -> f.completeExceptionally(new WorkerException("no", null))));
+          time.afterMillis(CUT_MILLIS, noAnswer(f));
           return;
         }
         State s = runners.get(id);
@@ -278,9 +284,7 @@
       return true;
     }
     s.token = token;
-    if (until != RunnerClient.NO_TIME) {
-      s.untilMillis = Math.max(s.untilMillis, Math.min(until, time.nowMillis() + MAX_HOLD_MILLIS));
-    }
+    grant(s, until);
     for (RunnerReport.End e : List.copyOf(s.ends)) {
       if (e.number() <= acked) {
         s.ends.remove(e);
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowJournalTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowJournalTest.java
@@ -9,6 +9,7 @@
 import dev.dandelionport.core.port.SharedStore.Write;
 import dev.dandelionport.core.testing.FakeProcess;
 import dev.dandelionport.core.testing.VirtualTime;
+import dev.dandelionport.core.workflow.WorkflowCodec;
 import dev.dandelionport.core.workflow.WorkflowLimits;
 import dev.dandelionport.core.workflow.WorkflowRecord;
 import java.util.ArrayList;
@@ -50,11 +51,20 @@
   }
 
   private long claim() {
+    return write(StoreKeys.OWNER, new byte[1]);
+  }
+
+  /** Writes a batch or part with one record, as a former owner did. */
+  private void put(String key, int number) {
+    write(key, WorkflowCodec.encode(List.of(new WorkflowRecord.PolicySeen(number))));
+  }
+
+  private long write(String key, byte[] value) {
     SharedStore.Outcome o =
         await(
             view.commit(
                 new SharedStore.Transaction(
-                    List.of(), List.of(new Write(StoreKeys.OWNER, new byte[1], 0)), List.of())));
+                    List.of(), List.of(new Write(key, value, 0)), List.of())));
     return ((SharedStore.Committed) o).revision();
   }
 
@@ -125,17 +135,7 @@
     append(j, 1);
     time.runFor(100);
     long owner = claim();
-    await(
-        view.commit(
-            new SharedStore.Transaction(
-                List.of(),
-                List.of(
-                    new Write(
-                        StoreKeys.batch(3),
-                        dev.dandelionport.core.workflow.WorkflowCodec.encode(
-                            List.of(new WorkflowRecord.PolicySeen(9))),
-                        0)),
-                List.of())));
+    put(StoreKeys.batch(3), 9);
     WorkflowJournal next = journal(owner);
     assertThat(stored()).containsExactly(1L);
     for (int i = 10; i < 14; i++) {
@@ -154,11 +154,7 @@
     for (int i = 0; i < 400; i++) {
       append(j, i);
       time.runFor(15);
-      boolean wanted = shard.call(j::wantsSnapshot);
-      if (wanted) {
-        final int last = i;
-        shard.run(() -> j.snapshot(List.of(new WorkflowRecord.PolicySeen(1_000 + last))));
-      }
+      snapshotIfWanted(j, 1_000 + i);
     }
     time.runFor(2_000);
     List<Long> all = stored();
@@ -179,36 +175,26 @@
       time.runFor(30);
     }
     long owner = claim();
-    await(
-        view.commit(
-            new SharedStore.Transaction(
-                List.of(),
-                List.of(
-                    new Write(
-                        StoreKeys.part(number, 0),
-                        dev.dandelionport.core.workflow.WorkflowCodec.encode(
-                            List.of(new WorkflowRecord.PolicySeen(7))),
-                        0)),
-                List.of())));
+    put(StoreKeys.part(number, 0), 7);
     WorkflowJournal next = journal(owner);
     int more = 10_000;
-    snapshotIfWanted(next);
+    snapshotIfWanted(next, 5_000);
     time.runFor(30);
     for (int i = 0; i < 20; i++) {
       append(next, more + i);
       time.runFor(30);
-      snapshotIfWanted(next);
+      snapshotIfWanted(next, 5_000);
       time.runFor(30);
     }
     assertThat(stored()).startsWith(5_000L).endsWith((long) more + 19);
     assertThat(fenced).isEmpty();
   }
 
-  private void snapshotIfWanted(WorkflowJournal j) {
+  private void snapshotIfWanted(WorkflowJournal j, int number) {
     shard.run(
         () -> {
           if (j.wantsSnapshot()) {
-            j.snapshot(List.of(new WorkflowRecord.PolicySeen(5_000)));
+            j.snapshot(List.of(new WorkflowRecord.PolicySeen(number)));
           }
         });
   }
--- a/standin/src/main/java/dev/dandelionport/standin/fleet/FleetRunner.java
+++ b/standin/src/main/java/dev/dandelionport/standin/fleet/FleetRunner.java
@@ -56,7 +56,7 @@
   /** Starts a run; returns why it was refused, if it was. */
   public Optional<String> start(String task, int run, String payload, long until, long now) {
     advance(now);
-    untilMillis = Math.max(untilMillis, Math.min(until, now + MAX_HOLD_MILLIS));
+    grant(until, now);
     Present p = running.get(task);
     if (p != null && p.run() == run) {
       return Optional.empty();
@@ -85,10 +85,14 @@
   /** Extends leases and forgets acknowledged ends. */
   public void hold(long until, long acked, long now) {
     advance(now);
-    untilMillis = Math.max(untilMillis, Math.min(until, now + MAX_HOLD_MILLIS));
+    grant(until, now);
     ends.removeIf(e -> e.number() <= acked);
   }
 
+  private void grant(long until, long now) {
+    untilMillis = Math.max(untilMillis, Math.min(until, now + MAX_HOLD_MILLIS));
+  }
+
   /** Ends what is over by now. */
   public void advance(long now) {
     for (Present p : List.copyOf(running.values())) {
