Tell a watch that waits for changes from an outage of the store

What callers saw: work was sent to runners that had left for good. Their starts go unanswered, and a gang with one such member waits and starts anew.

Cause: after an outage of the store, runners that it no longer lists are kept for 2.5 s, because entries lapse meanwhile. An outage was assumed when the call that last confirmed the configuration had been sent over 1.8 s ago. A watch without changes is answered after 1 s, so that age reaches 2 s in each cycle; the outage was assumed anew every second and no runner was ever dropped once an owner had served for 1.8 s.

Change: an outage begins when the store's answer to the watch is overdue, counted from its last answer.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/PrefixWatch.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/PrefixWatch.java
@@ -35,6 +35,9 @@
   /** When the last call was sent that showed the copy to be complete; {@code MIN_VALUE}: none. */
   private long confirmedMillis = Long.MIN_VALUE;
 
+  /** When the store last answered, or when the watch began if it has not yet. */
+  private long answeredMillis;
+
   PrefixWatch(
       DispatchContext context, Shard shard, String prefix, long waitMillis, Runnable listener) {
     this.context = context;
@@ -47,6 +50,7 @@
 
   /** Starts to follow the keys. */
   void start() {
+    answeredMillis = context.nowMillis();
     list();
   }
 
@@ -71,6 +75,11 @@
     return confirmedMillis;
   }
 
+  /** Returns whether the store has been silent for longer than a waiting call may take. */
+  boolean isOverdue(long marginMillis) {
+    return context.nowMillis() - answeredMillis > waitMillis + marginMillis;
+  }
+
   private void list() {
     long sent = context.nowMillis();
     shard.afterwards(
@@ -148,6 +157,7 @@
   }
 
   private void answers() {
+    answeredMillis = context.nowMillis();
     if (failing) {
       failing = false;
       long millis = context.nowMillis() - failingSinceMillis;
--- a/core/src/main/java/dev/dandelionport/core/dispatch/Surroundings.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/Surroundings.java
@@ -30,8 +30,8 @@
    */
   private static final long RETURN_MILLIS = 2_500;
 
-  /** Time without an answer of the store that counts as an outage, in milliseconds. */
-  private static final long OUTAGE_MILLIS = 1_800;
+  /** Time by which the store's answer is overdue that counts as an outage, in milliseconds. */
+  private static final long OVERDUE_MILLIS = 800;
 
   private final DispatchContext context;
   private final Runnable changed;
@@ -166,7 +166,7 @@
   /** Notes outages of the store, and drops runners that did not come back after one. */
   void expire() {
     long now = context.nowMillis();
-    if (now - operators.confirmedMillis() > OUTAGE_MILLIS) {
+    if (operators.isOverdue(OVERDUE_MILLIS)) {
       keepUntilMillis = now + RETURN_MILLIS;
       keeping = true;
     } else if (keeping && now >= keepUntilMillis) {
--- a/core/src/test/java/dev/dandelionport/core/dispatch/FakeSharedStore.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeSharedStore.java
@@ -40,6 +40,11 @@
     write(key, value.getBytes(java.nio.charset.StandardCharsets.UTF_8), 0, ++revision);
   }
 
+  /** Removes a key that another writer had put there. */
+  void remove(String key) {
+    delete(key, ++revision);
+  }
+
   void compact() {
     history.clear();
     compacted = revision;
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -145,6 +145,24 @@
     assertThat(c.runners.broken).isEmpty();
   }
 
+  // A watch that waits for changes was taken for an outage of the store, in which lapsed entries
+  // stand; runners that had left for good were given work.
+  @Test
+  void runnerThatTheStoreNoLongerListsGetsNoWork() {
+    WorkflowCluster c = new WorkflowCluster(9, 2);
+    c.time.runFor(2_000);
+    for (int i = 0; i < 5; i++) {
+      c.store.remove("runners/r" + i);
+    }
+    c.time.runFor(2_000);
+    assertThat(await(c, c.submit(c.any(), "w", step(6))).status()).isEqualTo(WorkflowStatus.OK);
+    for (int i = 0; i < 20; i++) {
+      c.time.runFor(100);
+      assertThat(c.runners.busy()).isSubsetOf("r5");
+    }
+    assertThat(completed(c, "w")).isTrue();
+  }
+
   // Guards against every combination of faults that breaks a promise: a task in two places, one
   // that starts after its acknowledged end, a runner over its room, a lost workflow.
   @ParameterizedTest
