Ask an idle runner again when its entry comes back

Cause: the scheduler forgets an unlisted runner without runs, and gives a listed one no work before it has reported to this owner. The link to the runner outlives both and remembers that the runner has answered, so it never asked again. Class of fault: two objects keep the same fact with different lives.

Evidence: idleRunnerWhoseEntryComesBackGetsWorkAgain fails on the commit before (the workflow is still open after 2 s) and passes now.

Change: the scheduler tells whether a listed runner must report first, and the link asks it.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -153,7 +153,8 @@
       return;
     }
     boolean awaits = host.scheduler().awaitsReport(id());
-    boolean needed = !answered || failures > 0 || endsPending || ackUnheard || awaits;
+    boolean unknown = !answered || host.scheduler().isUnasked(id());
+    boolean needed = unknown || failures > 0 || endsPending || ackUnheard || awaits;
     if (!needed && !host.scheduler().hasRuns(id())) {
       return;
     }
@@ -168,7 +169,7 @@
       return;
     }
     holding = true;
-    boolean mayWait = answered && failures == 0 && !endsPending && !awaits;
+    boolean mayWait = !unknown && failures == 0 && !endsPending && !awaits;
     hold(mayWait && (!ackUnheard || isLifeFresh()) ? WAIT_MILLIS : 0, false);
   }
 
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -225,6 +225,12 @@
     }
   }
 
+  /** Returns whether a listed runner must report before it gets work. */
+  public boolean isUnasked(String runner) {
+    Runner r = cell.runners.get(runner);
+    return r != null && r.listed && !r.fenced;
+  }
+
   /** Notes that calls to a runner fail; it gets no work until it reports again. */
   public void silent(String runner) {
     Runner r = cell.runners.get(runner);
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -163,6 +163,25 @@
     assertThat(completed(c, "w")).isTrue();
   }
 
+  // An idle runner whose entry lapsed and came back was never asked again, and never got work.
+  @Test
+  void idleRunnerWhoseEntryComesBackGetsWorkAgain() {
+    WorkflowCluster c = new WorkflowCluster(8, 2);
+    c.time.runFor(2_000);
+    for (int i = 0; i < 6; i++) {
+      c.store.remove("runners/r" + i);
+    }
+    c.time.runFor(3_000);
+    for (int i = 0; i < 6; i++) {
+      c.store.put("runners/r" + i, "");
+    }
+    c.time.runFor(2_000);
+    assertThat(await(c, c.submit(c.any(), "w", step(6))).status()).isEqualTo(WorkflowStatus.OK);
+    c.time.runFor(2_000);
+    assertThat(completed(c, "w")).isTrue();
+    assertThat(c.runners.broken).isEmpty();
+  }
+
   // Guards against every combination of faults that breaks a promise: a task in two places, one
   // that starts after its acknowledged end, a runner over its room, a lost workflow.
   @ParameterizedTest
