Probe a held runner again however its probe ended

A runner that is held back after failures or a stuck run gets one run as a probe. Only a run that was done or failed for the first time cleared the count of probes; after a probe that was stopped, preempted, lost, broken, refused, or failed on a task that had failed before, the runner got no work again until its next life.

Ruled out: that another run clears it, since a held runner gets none.

Change: a run knows that it is a probe and gives its place back when it ends; a failed probe holds the runner back again.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Run.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Run.java
@@ -42,6 +42,9 @@
   /** Whether it is of the first priority. */
   boolean urgent;
 
+  /** Whether it shows if a runner that was held back works again. */
+  boolean probe;
+
   Phase phase = Phase.INTENDED;
 
   /** When the start was sent, on the owner's steady clock; 0 if it was not. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerHealth.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerHealth.java
@@ -34,10 +34,10 @@
     probes = 0;
   }
 
-  /** Notes a failure that may be the runner's fault. */
-  void failed(long now) {
+  /** Notes a failure that may be the runner's fault, also of a probe. */
+  void failed(long now, boolean probe) {
     failureRate += FAILURE_GAIN * (1 - failureRate);
-    if (failureRate >= TOO_HIGH) {
+    if (probe || failureRate >= TOO_HIGH) {
       hold(now);
     }
   }
@@ -50,11 +50,17 @@
     rounds++;
   }
 
-  /** Notes that a run is sent to the runner. */
-  void started() {
+  /** Notes that a run is sent to the runner; returns whether it is a probe. */
+  boolean started() {
     if (held) {
       probes++;
     }
+    return held;
+  }
+
+  /** Notes that a probe ended without telling whether the runner works. */
+  void probeEnded() {
+    probes = Math.max(0, probes - 1);
   }
 
   /** Starts anew for another life of the runner. */
@@ -63,6 +69,7 @@
     slowness = 1;
     rounds = 0;
     held = false;
+    probes = 0;
   }
 
   /** Returns whether the runner may get work: any, or one run as a probe. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/Runs.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Runs.java
@@ -32,7 +32,7 @@
     t.lastRun = Math.max(t.lastRun, number);
     t.run = r;
     cell.occupy(r);
-    runner.health.started();
+    r.probe = runner.health.started();
     cell.record(new Intended(t.key, number, runner.id(), runner.born));
     cell.effect(new WorkflowEffect.Start(t.key, number, runner.id()));
     return r;
@@ -123,7 +123,9 @@
       t.step.longestMillis = whole ? Math.max(t.step.longestMillis, ran) : t.step.longestMillis;
       h.done(whole ? cell.times.ran(t.step, ran) : 1);
     } else if (how == RunEnd.FAILED && t.failures == 0 && r.born == r.runner.born) {
-      h.failed(cell.now);
+      h.failed(cell.now, r.probe);
+    } else if (r.probe) {
+      h.probeEnded();
     }
     if (h.isHeld() != wasHeld) {
       cell.note(
--- a/core/src/main/java/dev/dandelionport/core/workflow/Starts.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Starts.java
@@ -71,7 +71,7 @@
     if (result == StartResult.NO_TICKET) {
       advice.refused(r.task.step, r.runner);
     } else if (result == StartResult.UNHEALTHY) {
-      r.runner.health.failed(cell.now);
+      r.runner.health.failed(cell.now, r.probe);
     }
     runs.end(r, RunEnd.NEVER_STARTED, "");
   }
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowSchedulerTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowSchedulerTest.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class WorkflowSchedulerTest {
 
@@ -222,6 +224,31 @@
     assertThat(cell.scheduler.setPolicy(WorkflowFixture.policy(4, ResourceVector.ZERO))).isFalse();
   }
 
+  // A probe that was stopped or lost was counted for ever, and its runner got no work again.
+  @ParameterizedTest
+  @EnumSource(
+      value = RunEnd.class,
+      names = {"STOPPED", "LAPSED", "LOST", "NEVER_STARTED", "BROKEN", "ALONE"})
+  void heldRunnerIsProbedAgainHoweverItsProbeEnded(RunEnd how) {
+    cell.draining.add("r2");
+    cell.runners();
+    for (int i = 0; i < 4; i++) {
+      cell.submit("bad" + i, "batch", WorkflowFixture.step(1, 100));
+      cell.started(StartResult.PRESENT).forEach(s -> cell.end(s, RunEnd.FAILED, ""));
+      cell.scheduler.cancel("bad" + i);
+    }
+    cell.submit("w", "batch", WorkflowFixture.step(1, 100));
+    assertThat(cell.starts()).isEmpty();
+    cell.now += 10_000;
+    cell.place();
+    List<Start> probe = cell.started(StartResult.PRESENT);
+    assertThat(probe).hasSize(1);
+    cell.end(probe.get(0), how, "");
+    cell.now += 60_000;
+    cell.place();
+    assertThat(cell.starts()).hasSize(1);
+  }
+
   // Guards against a repetition that starts before its time.
   @Test
   void occurrencesStartWhenTheyAreDue() {
