Let waiting gangs use kept-free room while much of the pool is free

Cause: Headroom keeps a part of each runner free for urgent work, half of a typical urgent task and its recent peak. On a runner of 64 cores that leaves room for one task of 30 cores and never two, however empty the cell is; a task of nearly a whole runner never starts.

Change: a step that has waited for 500 ms may take that room: a gang while a quarter of the pool stays free beside it, another step with nothing running while half of the pool is free. A gang that fits twice over into a pool of which half is free always leaves a quarter. In fuller pools the room is kept on each runner as before, so that urgent steps find it on the few runners that advice allows. The sums are taken again after each placement, so that one pass over a long backlog cannot spend the same room twice.

Ruled out: advice as the cause in these tests; with the costs of the incident the calls come back in time in all 200 cells.

All pass now, with WorkflowSchedulerTest. urgentWorkFindsItsRoomBesideBacklogOfLargeTasks passes before and after.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Cell.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Cell.java
@@ -42,6 +42,9 @@
   /** Newest version of the configuration that an owner has acted on. */
   long policySeen = -1;
 
+  /** Number of times that a run took or freed room of its runner. */
+  long roomChanges;
+
   private List<WorkflowRecord> records = new ArrayList<>();
   private List<WorkflowEffect> effects = new ArrayList<>();
 
@@ -110,6 +113,7 @@
     Queue q = queueOf(r.task.step);
     r.urgent = q != null && q.priority() == 0;
     r.runner.add(r);
+    roomChanges++;
     running.merge(
         r.task.step.workflow.spec.account(), r.task.step.spec.size(), ResourceVector::plus);
   }
@@ -117,6 +121,7 @@
   /** Frees what a run took. */
   void release(Run r) {
     r.runner.remove(r);
+    roomChanges++;
     running.merge(
         r.task.step.workflow.spec.account(), r.task.step.spec.size(), ResourceVector::minus);
   }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Headroom.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Headroom.java
@@ -1,10 +1,15 @@
 package dev.dandelionport.core.workflow;
 
 import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * Keeps room free for work of the first priority, as much as it lately needed at its peak. Without
- * it a full cell makes urgent work wait for a stop, which can take longer than the work itself.
+ * it a full cell makes urgent work wait for a stop, which can take longer than the work itself. The
+ * room is spread over all runners, which can exclude large tasks from each of them; a step that has
+ * waited may therefore take it on some runners while much of the whole pool is free.
  */
 final class Headroom {
 
@@ -23,7 +28,40 @@
   /** Time in which a peak is forgotten, in milliseconds. */
   private static final double FORGET_MILLIS = 6_000;
 
+  /** Time that a step waits before it may take room that is kept free, in milliseconds. */
+  private static final long WAIT_MILLIS = 500;
+
+  /** One part in this many of a pool must be free for a task that takes such room. */
+  private static final int FREE_PARTS = 2;
+
+  /**
+   * One part in this many of a pool must stay free beside a gang that takes such room. A gang that
+   * fits twice over into a pool of which half is free always leaves that much.
+   */
+  private static final int LEFT_PARTS = 4;
+
+  /** Sums over the usable runners of a pool. */
+  private record Pool(ResourceVector capacity, ResourceVector free) {
+    Pool plus(Pool o) {
+      return new Pool(capacity.plus(o.capacity), free.plus(o.free));
+    }
+
+    /** Returns whether one part in {@code parts} stays free after {@code taken} is taken. */
+    boolean leaves(int parts, ResourceVector taken) {
+      ResourceVector left = free.minus(taken);
+      return left.milliCores() >= capacity.milliCores() / parts
+          && left.memoryMb() >= capacity.memoryMb() / parts;
+    }
+  }
+
   private final Cell cell;
+  private final Map<String, Pool> pools = new HashMap<>();
+
+  /** State of {@link Cell#roomChanges} that {@link #pools} shows; -1 for none. */
+  private long poolsAtChange = -1;
+
+  private Step lastStep;
+  private boolean lastAnswer;
   private double milliCores;
   private double memoryMb;
   private double taskMilliCores;
@@ -64,6 +102,50 @@
     milliCores = Math.max(cores, kept * milliCores);
     memoryMb = Math.max(memory, kept * memoryMb);
     runners = Math.max(1, usable);
+    poolsAtChange = -1;
+  }
+
+  /** Returns whether a step that has waited may take room that is otherwise kept free. */
+  boolean givesWay(Step s, Queue q) {
+    if (s.readyMillis < 0 || cell.now - s.readyMillis < WAIT_MILLIS) {
+      return false;
+    }
+    if (poolsAtChange != cell.roomChanges) {
+      sumPools();
+      lastStep = null;
+    }
+    if (lastStep != s) {
+      lastStep = s;
+      lastAnswer = decide(s, q);
+    }
+    return lastAnswer;
+  }
+
+  private boolean decide(Step s, Queue q) {
+    Pool p = pools.get(q.service());
+    if (p == null) {
+      return false;
+    }
+    if (s.spec.gang()) {
+      int tasks = s.startable(cell.now).size();
+      return p.leaves(LEFT_PARTS, s.spec.reserved().times(tasks));
+    }
+    return !s.hasRuns() && p.leaves(FREE_PARTS, ResourceVector.ZERO);
+  }
+
+  private void sumPools() {
+    pools.clear();
+    for (Runner r : cell.runners.values()) {
+      if (r.listed
+          && r.fenced
+          && !r.silent
+          && !r.info.draining()
+          && !cell.closedDomains.contains(r.info.failureDomain())) {
+        Pool one = new Pool(r.info.capacity(), r.free());
+        pools.merge(r.info.service(), one, Pool::plus);
+      }
+    }
+    poolsAtChange = cell.roomChanges;
   }
 
   /** Returns the room of a runner that other work must leave free. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/LargestRoom.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/LargestRoom.java
@@ -17,6 +17,9 @@
   /** Most of each resource that any runner of a service has left; not all of the same runner. */
   private final Map<String, ResourceVector> rooms = new HashMap<>();
 
+  /** The same with what is kept free for urgent work. */
+  private final Map<String, ResourceVector> wholeRooms = new HashMap<>();
+
   LargestRoom(Cell cell, Headroom headroom) {
     this.cell = cell;
     this.headroom = headroom;
@@ -25,10 +28,13 @@
   /** Looks at all runners; what is started later in the pass only takes room away. */
   void update() {
     rooms.clear();
+    wholeRooms.clear();
     for (Runner r : cell.runners.values()) {
       if (r.listed && r.fenced && !r.silent) {
-        ResourceVector free = r.free().minus(headroom.keptFree(r));
-        rooms.merge(r.info.service(), free.max(ResourceVector.ZERO), ResourceVector::max);
+        ResourceVector left = r.free().minus(headroom.keptFree(r));
+        rooms.merge(r.info.service(), left.max(ResourceVector.ZERO), ResourceVector::max);
+        ResourceVector whole = r.free().max(ResourceVector.ZERO);
+        wholeRooms.merge(r.info.service(), whole, ResourceVector::max);
       }
     }
   }
@@ -36,6 +42,10 @@
   /** Returns whether a runner may have room for a task of a step that is not urgent. */
   boolean mayFit(Step s, Queue q) {
     ResourceVector room = rooms.get(q.service());
-    return room != null && s.spec.reserved().fitsIn(room);
+    if (room == null) {
+      return false;
+    }
+    ResourceVector size = s.spec.reserved();
+    return size.fitsIn(room) || size.fitsIn(wholeRooms.get(q.service())) && headroom.givesWay(s, q);
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -155,7 +155,7 @@
   /** Returns how many more tasks of a step a runner has room for. */
   int copies(Runner r, Step s, Queue q) {
     ResourceVector free = r.free();
-    if (q.priority() > 0) {
+    if (q.priority() > 0 && !headroom.givesWay(s, q)) {
       free = free.minus(headroom.keptFree(r));
     }
     int n = s.spec.reserved().copiesIn(free);
--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
@@ -0,0 +1,251 @@
+package dev.dandelionport.core.workflow;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.testing.Steps;
+import dev.dandelionport.core.workflow.ClusterPolicy.Account;
+import dev.dandelionport.core.workflow.ClusterPolicy.Advice;
+import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * A scheduler, runners and an advice service in virtual time. The service takes one call at a time
+ * from each lane and refuses calls that name too many runners. Starts are carried out at once, and
+ * a run lasts until the test ends it.
+ */
+final class AdviceSimulation {
+
+  /** Most runners that the service accepts in one call. */
+  static final int MAX_NAMED = 100;
+
+  static final ResourceVector ROOM = new ResourceVector(0, 0, 64_000, 131_072, 0);
+
+  /** The queue whose steps need advice. */
+  static final String ADVISED = "advised";
+
+  static final String URGENT = "urgent";
+  static final String PLAIN = "plain";
+
+  private static final long STEP_MILLIS = 5;
+  private static final long TICK_MILLIS = 100;
+
+  /** Cost from which a call is kept off the lanes for short calls, in milliseconds. */
+  private static final double LONG_MILLIS = 60;
+
+  private static final int RUNNERS_PER_RACK = 8;
+  private static final int DOMAINS = 3;
+
+  /** Says whether a step may run on a runner. */
+  interface Rule {
+    boolean allows(StepKey step, String runner);
+  }
+
+  /** A call that is under way. */
+  private record Call(AdviceRequest ask, long answerMillis) {}
+
+  final WorkflowScheduler scheduler =
+      new WorkflowScheduler(new WorkflowLimits(3_000, 200, 3, 2_000, 120_000));
+  final List<AdviceRequest> asked = new ArrayList<>();
+  final List<String> runners = new ArrayList<>();
+  long now = 10_000;
+
+  /** Calls that the service refused. */
+  int refused;
+
+  private final Map<String, List<WorkflowEffect.Start>> running = new HashMap<>();
+  private final Map<String, Long> placedMillis = new HashMap<>();
+  private final Advice advice;
+  private final Rule rule;
+  private final Call[] lanes;
+  private long nextTickMillis = now;
+  private long ends;
+
+  AdviceSimulation(int runnerCount, int laneCount, Advice advice, Rule rule) {
+    this.advice = advice;
+    this.rule = rule;
+    this.lanes = new Call[laneCount];
+    tell();
+    Map<String, Queue> queues = new TreeMap<>();
+    queues.put(URGENT, queue(URGENT, 0, Optional.empty()));
+    queues.put(ADVISED, queue(ADVISED, 1, Optional.of(advice)));
+    queues.put(PLAIN, queue(PLAIN, 2, Optional.empty()));
+    Account account = new Account("a", List.of("key"), 1_000, ResourceVector.ZERO);
+    scheduler.setPolicy(new ClusterPolicy(1, queues, Map.of(), Map.of("a", account)));
+    List<RunnerDescription> list = new ArrayList<>();
+    for (int i = 0; i < runnerCount; i++) {
+      String id = String.format("r%03d", i);
+      List<String> labels = List.of(id, "rack" + i / RUNNERS_PER_RACK);
+      list.add(
+          new RunnerDescription(id, 1, "svc", id + ":1", "fd" + i % DOMAINS, ROOM, labels, false));
+      runners.add(id);
+    }
+    scheduler.setRunners(list);
+    for (String id : runners) {
+      scheduler.report(id, new RunnerReport(1, now, List.of(), List.of()), now);
+    }
+    carryOut();
+  }
+
+  private static Queue queue(String name, int priority, Optional<Advice> advice) {
+    return new Queue(
+        name, "host", "/" + name + "/", 3_000, 20_000, priority, "svc", 3, 3, advice, false);
+  }
+
+  /** Returns a rule that allows a part of the runners, which differs by step. */
+  static Rule allowPart(double part, long seed) {
+    return (step, runner) -> {
+      long h = 31 * (31 * seed + step.toString().hashCode()) + runner.hashCode();
+      h = (h ^ h >>> 31) * 0x9E3779B97F4A7C15L;
+      h = (h ^ h >>> 29) * 0xBF58476D1CE4E5B9L;
+      return (h >>> 11) * 0x1.0p-53 < part;
+    };
+  }
+
+  boolean allows(String workflow, String runner) {
+    return rule.allows(new StepKey(workflow, 0, 0), runner);
+  }
+
+  /** Returns a task bound to one runner that takes part of it. */
+  static StepSpec on(String runner, long milliCores, long memoryMb) {
+    StepSpec s = Steps.of(1, new ResourceVector(0, 0, milliCores, memoryMb, 0), 600_000);
+    return new StepSpec(
+        s.tasks(),
+        s.size(),
+        s.estimateMillis(),
+        s.after(),
+        false,
+        false,
+        false,
+        runner,
+        "",
+        0,
+        false,
+        false,
+        false,
+        "",
+        0,
+        0);
+  }
+
+  void submit(String id, String queue, StepSpec step) {
+    tell();
+    scheduler.submit(
+        new WorkflowSpec(id, queue, "a", "payload", List.of(step), Recurrence.ONCE, false));
+  }
+
+  /** Lets the time pass. */
+  void run(long millis) {
+    for (long end = now + millis; now < end; now += STEP_MILLIS) {
+      step();
+    }
+  }
+
+  /** Lets the time pass until all tasks of a workflow run; returns whether they do in time. */
+  boolean runUntilStarted(String workflow, int tasks, long millis) {
+    for (long end = now + millis; now <= end; now += STEP_MILLIS) {
+      step();
+      if (running(workflow).size() >= tasks) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void step() {
+    tell();
+    if (now >= nextTickMillis) {
+      nextTickMillis = now + TICK_MILLIS;
+      scheduler.tick();
+    }
+    answer();
+    scheduler.place();
+    carryOut();
+    fill();
+  }
+
+  private void answer() {
+    for (int i = 0; i < lanes.length; i++) {
+      Call c = lanes[i];
+      if (c == null || c.answerMillis() > now) {
+        continue;
+      }
+      lanes[i] = null;
+      AdviceRequest ask = c.ask();
+      Map<String, String> tickets = new HashMap<>();
+      for (String r : ask.runners()) {
+        if (rule.allows(ask.step(), r)) {
+          tickets.put(r, ask.step() + "@" + r + "@" + now);
+        }
+      }
+      boolean tooMany = ask.runners().size() > MAX_NAMED;
+      refused += tooMany ? 1 : 0;
+      scheduler.advised(ask.step(), ask.runners(), tooMany ? null : tickets, advice.validMillis());
+    }
+  }
+
+  private void fill() {
+    int shortOnly = lanes.length < 2 ? 0 : Math.max(1, lanes.length / 3);
+    for (int i = 0; i < lanes.length; i++) {
+      if (lanes[i] != null) {
+        continue;
+      }
+      Optional<AdviceRequest> ask =
+          scheduler.nextAsk(i < shortOnly ? LONG_MILLIS : Double.MAX_VALUE);
+      if (ask.isPresent()) {
+        asked.add(ask.get());
+        double cost = advice.decideMillis() + ask.get().runners().size() * advice.perRunnerMillis();
+        lanes[i] = new Call(ask.get(), now + (long) Math.ceil(cost));
+      }
+    }
+  }
+
+  private void carryOut() {
+    for (WorkflowEffect e : scheduler.takeDecision().effects()) {
+      if (e instanceof WorkflowEffect.Start s
+          && scheduler.mayStillStart(s.task(), s.run(), s.runner()).isPresent()) {
+        scheduler.startAnswered(s.task(), s.run(), s.runner(), StartResult.PRESENT);
+        running.computeIfAbsent(s.task().workflow(), k -> new ArrayList<>()).add(s);
+        placedMillis.putIfAbsent(s.task().workflow(), now);
+      }
+    }
+  }
+
+  /** Returns the runs of a workflow that were started and not ended. */
+  List<WorkflowEffect.Start> running(String workflow) {
+    return running.getOrDefault(workflow, List.of());
+  }
+
+  /** Ends all runs of a workflow as done. */
+  void end(String workflow) {
+    tell();
+    List<WorkflowEffect.Start> list = running.remove(workflow);
+    for (WorkflowEffect.Start s : list == null ? List.<WorkflowEffect.Start>of() : list) {
+      var end = new RunnerReport.End(++ends, s.task(), s.run(), RunEnd.DONE, "");
+      // A call sent long ago says nothing about runs that are absent.
+      scheduler.report(
+          s.runner(), new RunnerReport(1, now, List.of(), List.of(end)), now - 100_000);
+    }
+    carryOut();
+  }
+
+  /** Returns the runners that calls about a workflow have named. */
+  Set<String> named(String workflow) {
+    Set<String> set = new HashSet<>();
+    for (AdviceRequest a : asked) {
+      if (a.step().workflow().equals(workflow)) {
+        set.addAll(a.runners());
+      }
+    }
+    return set;
+  }
+
+  private void tell() {
+    scheduler.at(now, 1_000_000 + now);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/workflow/HeadroomTest.java
@@ -0,0 +1,59 @@
+package dev.dandelionport.core.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.testing.Steps;
+import dev.dandelionport.core.workflow.ClusterPolicy.Advice;
+import org.junit.jupiter.api.Test;
+
+class HeadroomTest {
+
+  private static final int RUNNERS = 8;
+  private static final ResourceVector URGENT_TASK = new ResourceVector(0, 0, 12_000, 1_000, 0);
+
+  private final AdviceSimulation cell =
+      new AdviceSimulation(RUNNERS, 1, new Advice(1, 1, 2_500), (step, runner) -> true);
+
+  /** Lets urgent tasks run one burst after the other, each for 100 ms. */
+  private void urgentBursts(int bursts, int tasks) {
+    for (int i = 0; i < bursts; i++) {
+      String id = "urgent-" + cell.now;
+      cell.submit(id, AdviceSimulation.URGENT, Steps.of(tasks, URGENT_TASK, 100));
+      cell.run(100);
+      cell.end(id);
+    }
+  }
+
+  // Room was kept free on each runner, so that no runner ever took a second task of half its size,
+  // and a gang that needed two on some runners waited for ever in an idle cell.
+  @Test
+  void gangOfHalfRunnerTasksStartsInCellThatIsFree() {
+    urgentBursts(60, 4);
+    ResourceVector task = new ResourceVector(0, 0, 30_000, 17_392, 0);
+    cell.submit("gang", AdviceSimulation.PLAIN, Steps.gang(RUNNERS + 2, task, 5_000));
+    assertThat(cell.runUntilStarted("gang", RUNNERS + 2, 1_000)).isTrue();
+  }
+
+  // A task larger than what is left beside the room that is kept never started in an idle cell.
+  @Test
+  void taskOfNearlyWholeRunnerStartsInCellThatIsFree() {
+    urgentBursts(60, 4);
+    ResourceVector task = new ResourceVector(0, 0, 62_000, 100_000, 0);
+    cell.submit("large", AdviceSimulation.PLAIN, Steps.of(2, task, 5_000));
+    assertThat(cell.runUntilStarted("large", 1, 1_000)).isTrue();
+  }
+
+  // Guards against large steps that take the room of urgent work one after the other.
+  @Test
+  void urgentWorkFindsItsRoomBesideBacklogOfLargeTasks() {
+    urgentBursts(60, RUNNERS);
+    ResourceVector task = new ResourceVector(0, 0, 30_000, 17_392, 0);
+    for (int i = 0; i < 4 * RUNNERS; i++) {
+      cell.submit("large-" + i, AdviceSimulation.PLAIN, Steps.of(1, task, 60_000));
+    }
+    cell.run(1_000);
+    cell.submit("urgent", AdviceSimulation.URGENT, Steps.of(RUNNERS, URGENT_TASK, 100));
+    assertThat(cell.runUntilStarted("urgent", RUNNERS, 0)).isTrue();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WideGangTest.java
@@ -0,0 +1,110 @@
+package dev.dandelionport.core.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.testing.Steps;
+import dev.dandelionport.core.workflow.ClusterPolicy.Advice;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class WideGangTest {
+
+  /** Time within which a gang must start that has room twice over, in milliseconds. */
+  private static final long START_MILLIS = 3_000;
+
+  private static final int CELLS = 40;
+
+  /** A cell of random size, load and advice. */
+  private static final class RandomCell {
+    final Random random;
+    final AdviceSimulation cell;
+    final Map<String, ResourceVector> free = new HashMap<>();
+
+    RandomCell(long seed) {
+      random = new Random(seed);
+      int runners = 30 + random.nextInt(221);
+      double part = 0.3 + 0.4 * random.nextDouble();
+      boolean large = runners > 100;
+      Advice advice = large ? new Advice(380, 5.5, 2_500) : new Advice(360, 5.2, 2_500);
+      cell =
+          new AdviceSimulation(
+              runners, large ? 39 : 9, advice, AdviceSimulation.allowPart(part, seed));
+      occupy();
+      urgentLoad();
+    }
+
+    /** Occupies under half of the cell by tasks that do not end. */
+    private void occupy() {
+      double level = 0.9 * random.nextDouble();
+      for (String r : cell.runners) {
+        long cores = (long) (level * random.nextDouble() * 64_000);
+        long memory = (long) (level * random.nextDouble() * 131_072);
+        cell.submit("load-" + r, AdviceSimulation.PLAIN, AdviceSimulation.on(r, cores, memory));
+        free.put(r, AdviceSimulation.ROOM.minus(new ResourceVector(0, 0, cores, memory, 0)));
+      }
+      cell.run(200);
+    }
+
+    /** Lets urgent tasks run that end before the gang comes. */
+    private void urgentLoad() {
+      long cores = 1_000 + random.nextInt(12_000);
+      int tasks = 1 + random.nextInt(cell.runners.size());
+      for (int round = 0; round < 5; round++) {
+        for (int i = 0; i < 20; i++) {
+          cell.submit(
+              "urgent-" + round + "-" + i,
+              AdviceSimulation.URGENT,
+              Steps.of(1 + tasks / 20, new ResourceVector(0, 0, cores, 1_000, 0), 300));
+        }
+        cell.run(100);
+        for (int i = 0; i < 20; i++) {
+          cell.end("urgent-" + round + "-" + i);
+        }
+      }
+    }
+
+    /** Returns how many tasks fit on the runners that are allowed. */
+    int fits(String workflow, ResourceVector task) {
+      int n = 0;
+      for (String r : cell.runners) {
+        n += cell.allows(workflow, r) ? task.copiesIn(free.get(r)) : 0;
+      }
+      return n;
+    }
+  }
+
+  // A gang waited for ever although half of the cell was free: its runners were not asked about, or
+  // not at once, or what was kept free for urgent work took half of each runner from it.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void gangStartsInTimeWhereItFitsTwiceOver(long seed) {
+    StringBuilder late = new StringBuilder();
+    for (int i = 0; i < CELLS; i++) {
+      RandomCell c = new RandomCell(1_000 * seed + i);
+      long cores = 4_000 + c.random.nextInt(28_000);
+      ResourceVector task = new ResourceVector(0, 0, cores, 2_000 + c.random.nextInt(20_000), 0);
+      int tasks = Math.min(60, c.fits("gang", task) / 2);
+      if (tasks < 2) {
+        continue;
+      }
+      c.cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(tasks, task, 5_000));
+      if (!c.cell.runUntilStarted("gang", tasks, START_MILLIS)) {
+        late.append(
+            String.format(
+                "%n%d: %dx%dm/%dMB, %d runners, %d named, %d refused",
+                1_000 * seed + i,
+                tasks,
+                cores,
+                task.memoryMb(),
+                c.cell.runners.size(),
+                c.cell.named("gang").size(),
+                c.cell.refused));
+      }
+    }
+    assertThat(late.toString()).isEmpty();
+  }
+}
