Forget the size of urgent tasks together with their recent peak

Callers could see large tasks wait in a cell without urgent work: half of a typical urgent task stayed kept free on each runner for ever, because its average is only changed by further urgent steps and the peak alone decays.

The part of a task that is kept on each runner is now bounded by the recent peak of the whole cell, which is forgotten in seconds. While urgent work is there the peak exceeds half a task and nothing changes.

Evidence: HeadroomTest.nothingBeyondTheLeastPartIsKeptLongAfterTheLastUrgentTask failed before (a gang that fills the cell beside the least part, 60 s after the last urgent task) and passes now, with the rest of HeadroomTest and WideGangTest.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Headroom.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Headroom.java
@@ -151,16 +151,15 @@
   /** Returns the room of a runner that other work must leave free. */
   ResourceVector keptFree(Runner r) {
     ResourceVector c = r.info.capacity();
-    long cores =
-        kept(c.milliCores(), SPARE * milliCores / runners + TASK_PART * taskMilliCores)
-            - r.urgentUsed.milliCores();
-    long memory =
-        kept(c.memoryMb(), SPARE * memoryMb / runners + TASK_PART * taskMemoryMb)
-            - r.urgentUsed.memoryMb();
+    long cores = kept(c.milliCores(), milliCores, taskMilliCores) - r.urgentUsed.milliCores();
+    long memory = kept(c.memoryMb(), memoryMb, taskMemoryMb) - r.urgentUsed.memoryMb();
     return new ResourceVector(0, 0, Math.max(0, cores), Math.max(0, memory), 0);
   }
 
-  private static long kept(long capacity, double wanted) {
+  /** Returns what is kept of a runner's resource, from the cell's recent peak and a task's size. */
+  private long kept(long capacity, double peak, double task) {
+    // The size of a task is known for ever; once the peak is forgotten, it no longer counts.
+    double wanted = SPARE * peak / runners + Math.min(peak, TASK_PART * task);
     double least = (double) capacity / LEAST_PARTS;
     return (long) Math.min(MOST * capacity, Math.max(least, wanted));
   }
--- a/core/src/test/java/dev/dandelionport/core/workflow/HeadroomTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/HeadroomTest.java
@@ -56,4 +56,15 @@
     cell.submit("urgent", AdviceSimulation.URGENT, Steps.of(RUNNERS, URGENT_TASK, 100));
     assertThat(cell.runUntilStarted("urgent", RUNNERS, 0)).isTrue();
   }
+
+  // The size of a typical urgent task was never forgotten, and half of it was kept free on each
+  // runner long after the last urgent task had ended.
+  @Test
+  void nothingBeyondTheLeastPartIsKeptLongAfterTheLastUrgentTask() {
+    urgentBursts(60, 4);
+    cell.run(60_000);
+    ResourceVector task = new ResourceVector(0, 0, 30_000, 17_392, 0);
+    cell.submit("gang", AdviceSimulation.PLAIN, Steps.gang(2 * RUNNERS, task, 5_000));
+    assertThat(cell.runUntilStarted("gang", 2 * RUNNERS, 1_000)).isTrue();
+  }
 }
