Look in turn at the steps that the bound of a pass leaves out

Callers saw the last class get nothing for long although there was room for it. Cause: a pass looked at the first 200 steps in order and always at the same ones. While 200 steps of higher classes waited that could not start (urgent work larger than the room left, gangs whose members fit one by one), no later step was looked at, and no advice was asked for it. Ruled out: the check for the largest room, which skips steps of lower priority that fit nowhere and does not count them; it applies neither to urgent work nor to gangs of which one member fits. Change: 150 steps come by order, then up to 50 of those left out, the longest not looked at first. Whoever waits is looked at within n / 50 passes, n being the number of steps that wait. Evidence: WorkflowSchedulerTest.backlogThatCannotStartHidesNoOtherWork failed before for both backlogs (1,000 steps of urgent work, 1,000 gangs) and passes.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -4,6 +4,7 @@
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
 /** Chooses runners for the tasks of the steps whose turn has come. */
@@ -12,6 +13,9 @@
   /** Steps that are looked at in one pass; bounds its time. */
   private static final int MAX_STEPS = 200;
 
+  /** Steps among them that come by their order; those that waited longest for a look follow. */
+  private static final int FIRST_STEPS = 150;
+
   /** Ranks of steps: in time, late, beyond the account's weight, too late to be of use. */
   private static final int IN_TIME = 0;
 
@@ -35,6 +39,7 @@
   private final Preemption preemption;
   private final Headroom headroom;
   private final LargestRoom room;
+  private long passes;
 
   Placement(Cell cell, Runs runs, AdviceBook advice) {
     this.cell = cell;
@@ -50,38 +55,57 @@
     return gangs;
   }
 
-  /** Starts what fits, in order. */
+  /**
+   * Starts what fits: first in order, then those steps in turn that the bound of a pass left out,
+   * so that steps which cannot start keep no other step from being looked at.
+   */
   void pass() {
     advice.clear();
     headroom.update();
     room.update();
+    passes++;
     int looked = 0;
+    List<Step> left = new ArrayList<>();
     for (Step s : order()) {
+      if (looked == FIRST_STEPS) {
+        left.add(s);
+      } else if (look(s)) {
+        looked++;
+      }
+    }
+    left.sort(Comparator.comparingLong(s -> s.lookedPass));
+    for (Step s : left) {
       if (looked == MAX_STEPS) {
         break;
       }
-      Queue q = cell.queueOf(s);
-      if (q == null || isAtCeiling(s) || !s.hasStartable(cell.now)) {
-        continue;
-      }
-      if (q.priority() > 0 && s.gangRun == 0 && !room.mayFit(s, q)) {
-        continue;
-      }
-      looked++;
-      List<Runner> candidates = candidates(s, q);
-      List<Task> tasks = s.startable(cell.now);
-      if (s.spec.gang()) {
-        gangs.place(s, q, tasks, candidates);
-      } else {
-        placeEach(s, q, tasks, candidates);
-      }
-      if (s.hasStartable(cell.now) && !isAtCeiling(s)) {
-        advice.want(s);
-        if (q.priority() == 0) {
-          preemption.makeRoom(s, q, candidates);
-        }
+      looked += look(s) ? 1 : 0;
+    }
+  }
+
+  /** Starts what fits of a step; returns false if it was plain that nothing can start. */
+  private boolean look(Step s) {
+    Queue q = cell.queueOf(s);
+    if (q == null || isAtCeiling(s) || !s.hasStartable(cell.now)) {
+      return false;
+    }
+    if (q.priority() > 0 && s.gangRun == 0 && !room.mayFit(s, q)) {
+      return false;
+    }
+    s.lookedPass = passes;
+    List<Runner> candidates = candidates(s, q);
+    List<Task> tasks = s.startable(cell.now);
+    if (s.spec.gang()) {
+      gangs.place(s, q, tasks, candidates);
+    } else {
+      placeEach(s, q, tasks, candidates);
+    }
+    if (s.hasStartable(cell.now) && !isAtCeiling(s)) {
+      advice.want(s);
+      if (q.priority() == 0) {
+        preemption.makeRoom(s, q, candidates);
       }
     }
+    return true;
   }
 
   /** Returns whether the account's ceiling keeps the step from starting anything. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/Step.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Step.java
@@ -48,6 +48,9 @@
   /** When the workflow should be done, on the owner's steady clock. */
   long dueMillis;
 
+  /** Number of the latest pass of the placement that looked for room for it; 0 if none did. */
+  long lookedPass;
+
   /** Failed runs of the gang. */
   int gangFailures;
 
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowSchedulerTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowSchedulerTest.java
@@ -6,9 +6,12 @@
 import dev.dandelionport.core.workflow.WorkflowEffect.Start;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 class WorkflowSchedulerTest {
 
@@ -59,6 +62,30 @@
     assertThat(cell.starts()).extracting(s -> s.task().workflow()).containsExactly("small");
   }
 
+  // A pass looks at a bounded number of steps, always the same ones first: while enough of them
+  // waited, the last class got nothing although there was room for it.
+  @ParameterizedTest
+  @MethodSource("backlogs")
+  void backlogThatCannotStartHidesNoOtherWork(String queue, StepSpec step) {
+    for (int i = 0; i < 1_000; i++) {
+      cell.submit("waits" + i, queue, step);
+    }
+    cell.starts();
+    cell.now += 1;
+    cell.submit("last", "batch", WorkflowFixture.step(1, 100));
+    for (int pass = 0; pass < 20; pass++) {
+      cell.now += 10;
+      cell.place();
+    }
+    assertThat(cell.starts()).extracting(s -> s.task().workflow()).containsExactly("last");
+  }
+
+  static Stream<Arguments> backlogs() {
+    return Stream.of(
+        Arguments.of("urgent", WorkflowFixture.step(1, 17_000)),
+        Arguments.of("batch", WorkflowFixture.gang(5, 7_000)));
+  }
+
   // A gang's failure was lost when the end of another member was listed first, and it ran too
   // often.
   @Test
