Say in the log why a step waits

DP4008 has a new decision WAITING. A step of which tasks wait gets a line after 2 s and then each time its waiting time has doubled; at most 5 lines a second are written, those of the steps that have waited longest first, and leftOut counts the steps whose line is due and was not written. A line has the first thing that keeps the step from starting (why), its size, rank and priority, whether the latest pass reached it and when one last looked at it, the runners that can be used, may run it, hold a ticket, are denied or were not asked about, how many tasks fit on each group with and without the room kept for urgent work, and by reason the runners that get no work. It is computed only when it is written; a pass adds two assignments to each step.

Waiting time counts from the step's turn, or from when a task of it was first seen to wait after a run, so a run does not count as waiting.

--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -65,6 +65,11 @@
     wanted.add(s);
   }
 
+  /** Returns the part of a queue's named runners that is expected to be allowed. */
+  double allowedPart(Queue q) {
+    return allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
+  }
+
   /** Returns the first call that can help and costs at most {@code maxMillis}. */
   Optional<AdviceRequest> next(double maxMillis) {
     for (Iterator<Step> i = wanted.iterator(); i.hasNext(); ) {
@@ -114,7 +119,7 @@
       return List.of();
     }
     int missing = needed - ticketed - knownRoom;
-    double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
+    double part = allowedPart(q);
     if (s.spec.gang() && missing > 0 && part * unknownRoom < missing) {
       return List.of();
     }
@@ -142,7 +147,7 @@
   /** Returns runners of which enough are likely to be allowed for some tasks. */
   private List<Runner> fresh(Step s, Queue q, List<Runner> unknown, int tasks) {
     unknown.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
-    double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
+    double part = allowedPart(q);
     List<Runner> named = new ArrayList<>();
     double room = 0;
     for (Runner r : unknown) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -19,6 +19,9 @@
   private static final int EXCESS = 2;
   private static final int WORTHLESS = 3;
 
+  /** What the log calls the ranks. */
+  private static final List<String> RANKS = List.of("in time", "late", "excess", "worthless");
+
   /** Part of a run's expected time that must be left before its due time; estimates are rough. */
   private static final double REMAINING_PART = 0.7;
 
@@ -36,6 +39,9 @@
   private final Headroom headroom;
   private final LargestRoom room;
 
+  /** Number of the latest pass, from 1. */
+  private long number;
+
   Placement(Cell cell, Runs runs, AdviceBook advice) {
     this.cell = cell;
     this.runs = runs;
@@ -55,11 +61,13 @@
     advice.clear();
     headroom.update();
     room.update();
+    number++;
     int looked = 0;
     for (Step s : order()) {
       if (looked == MAX_STEPS) {
         break;
       }
+      s.reachedPass = number;
       Queue q = cell.queueOf(s);
       if (q == null || isAtCeiling(s) || !s.hasStartable(cell.now)) {
         continue;
@@ -68,6 +76,7 @@
         continue;
       }
       looked++;
+      s.lookedMillis = cell.now;
       List<Runner> candidates = candidates(s, q);
       List<Task> tasks = s.startable(cell.now);
       if (s.spec.gang()) {
@@ -84,6 +93,16 @@
     }
   }
 
+  /** Returns whether the latest pass came as far as a step. */
+  boolean reached(Step s) {
+    return s.reachedPass == number;
+  }
+
+  /** Returns the name of a step's rank for logs. */
+  String rankName(Step s) {
+    return RANKS.get(rank(s));
+  }
+
   /** Returns whether the account's ceiling keeps the step from starting anything. */
   private boolean isAtCeiling(Step s) {
     // A gang that has started must be dealt with also when its missing members may not start.
@@ -155,9 +174,11 @@
   /** Returns how many more tasks of a step a runner has room for. */
   int copies(Runner r, Step s, Queue q) {
     ResourceVector free = r.free();
-    if (q.priority() > 0) {
-      free = free.minus(headroom.keptFree(r));
-    }
+    return copiesIn(q.priority() > 0 ? free.minus(headroom.keptFree(r)) : free, r, s);
+  }
+
+  /** Returns how many more tasks of a step may start in a part of a runner's room. */
+  int copiesIn(ResourceVector free, Runner r, Step s) {
     int n = s.spec.reserved().copiesIn(free);
     if (s.spec.filler() && free.milliCores() < s.spec.size().milliCores()) {
       // Fillers take what is left over; without any they only hold memory.
--- a/core/src/main/java/dev/dandelionport/core/workflow/Step.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Step.java
@@ -21,6 +21,18 @@
   /** Tasks that are not done. */
   int left;
 
+  /** Number of the latest pass of the placement that came as far as the step; 0 for none. */
+  long reachedPass;
+
+  /** When a pass last looked at runners for it, on the owner's steady clock; -1 for never. */
+  long lookedMillis = -1;
+
+  /** Since when tasks of it wait, on the owner's steady clock; -1 while none was seen to. */
+  long waitsSinceMillis = -1;
+
+  /** When a line that says why it waits is due, on the owner's steady clock. */
+  long waitLineMillis;
+
   /** When the step's turn came, on the owner's steady clock; -1 if it has not. */
   long readyMillis = -1;
 
@@ -109,6 +121,25 @@
     return false;
   }
 
+  /** Returns how many tasks wait, also those that are tried again later. */
+  int waiting() {
+    int n = 0;
+    for (Task t : tasks) {
+      n += t.waits() ? 1 : 0;
+    }
+    return n;
+  }
+
+  /** Returns whether a runner was chosen for one of its tasks at any time. */
+  boolean wasPlaced() {
+    for (Task t : tasks) {
+      if (t.lastRun > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   boolean hasRuns() {
     for (Task t : tasks) {
       if (t.run != null) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
@@ -29,6 +29,7 @@
   enum Topic {
     ACCEPTED,
     PLACED,
+    WAITING,
     ENDED,
     STOPPED,
     CLOSED,
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -30,6 +30,7 @@
   private final RunnerReports reports;
   private final Starts starts;
   private final Watchdog watchdog;
+  private final WaitReport waits;
   private final WorkflowReplay replay;
   private final Map<String, RateBucket> rates = new HashMap<>();
 
@@ -43,6 +44,7 @@
     reports = new RunnerReports(cell, runs);
     starts = new Starts(cell, runs, reports, advice);
     watchdog = new Watchdog(cell, runs, placement.gangs(), advice);
+    waits = new WaitReport(cell, placement, advice);
     replay = new WorkflowReplay(cell, runs);
   }
 
@@ -312,6 +314,7 @@
   /** Starts what fits. */
   public void place() {
     placement.pass();
+    waits.scan();
   }
 
   /** Forgets workflows that ended long ago. */
