--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -23,6 +23,9 @@
   private static final int EXCESS = 2;
   private static final int WORTHLESS = 3;
 
+  /** What the log calls the ranks. */
+  private static final List<String> RANKS = List.of("in time", "late", "excess", "worthless");
+
   /** Part of a run's expected time that must be left before its due time; estimates are rough. */
   private static final double REMAINING_PART = 0.7;
 
@@ -39,6 +42,8 @@
   private final Preemption preemption;
   private final Headroom headroom;
   private final LargestRoom room;
+
+  /** Number of the latest pass, from 1. */
   private long passes;
 
   Placement(Cell cell, Runs runs, AdviceBook advice) {
@@ -73,7 +78,7 @@
         looked++;
       }
     }
-    left.sort(Comparator.comparingLong(s -> s.lookedPass));
+    left.sort(Comparator.comparingLong(s -> s.lookedMillis));
     for (Step s : left) {
       if (looked == MAX_STEPS) {
         break;
@@ -84,6 +89,7 @@
 
   /** Starts what fits of a step; returns false if it was plain that nothing can start. */
   private boolean look(Step s) {
+    s.reachedPass = passes;
     Queue q = cell.queueOf(s);
     if (q == null || isAtCeiling(s) || !s.hasStartable(cell.now)) {
       return false;
@@ -91,7 +97,7 @@
     if (q.priority() > 0 && s.gangRun == 0 && !room.mayFit(s, q)) {
       return false;
     }
-    s.lookedPass = passes;
+    s.lookedMillis = cell.now;
     List<Runner> candidates = candidates(s, q);
     List<Task> tasks = s.startable(cell.now);
     if (s.spec.gang()) {
@@ -108,6 +114,16 @@
     return true;
   }
 
+  /** Returns whether the latest pass came as far as a step. */
+  boolean reached(Step s) {
+    return s.reachedPass == passes;
+  }
+
+  /** Returns the name of a step's rank for logs. */
+  String rankName(Step s) {
+    return RANKS.get(rank(s));
+  }
+
   /** Returns whether the account's ceiling keeps the step from starting anything. */
   private boolean isAtCeiling(Step s) {
     // A gang that has started must be dealt with also when its missing members may not start.
@@ -179,9 +195,12 @@
   /** Returns how many more tasks of a step a runner has room for. */
   int copies(Runner r, Step s, Queue q) {
     ResourceVector free = r.free();
-    if (q.priority() > 0 && !headroom.givesWay(s, q)) {
-      free = free.minus(headroom.keptFree(r));
-    }
+    boolean keeps = q.priority() > 0 && !headroom.givesWay(s, q);
+    return copiesIn(keeps ? free.minus(headroom.keptFree(r)) : free, r, s);
+  }
+
+  /** Returns how many more tasks of a step may start in a part of a runner's room. */
+  int copiesIn(ResourceVector free, Runner r, Step s) {
     int n = s.spec.reserved().copiesIn(free);
     if (s.spec.filler() && free.milliCores() < s.spec.size().milliCores()) {
       // Fillers take what is left over; without any they only hold memory.
