Let a task that was stopped as stuck run longer each time

What callers saw: workflows that run again and again and never end, and sound runners that get no work. A hung run of a queue with fewer than 30 runs done was never stopped at all.

Cause: a run that takes longer than 1.3 times nearly all runs of its queue, or 2.2 times the longest of its step, is stopped as stuck. The bounds are learnt from runs that were done, so a task that really takes longer is stopped each time, and never teaches them. Each stop held its runner back for 1 to 8 s.

Ruled out: that the task is at fault of its runner.

Change: the bounds double with each such stop of a task or its gang; only the first one holds the runner back; ten times the estimate bounds a run of which nothing else is known.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Run.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Run.java
@@ -45,6 +45,9 @@
   /** Whether it shows if a runner that was held back works again. */
   boolean probe;
 
+  /** How often earlier runs of its task, or of its gang, were stopped as stuck. */
+  final int stuckBefore;
+
   Phase phase = Phase.INTENDED;
 
   /** When the start was sent, on the owner's steady clock; 0 if it was not. */
@@ -76,6 +79,7 @@
     this.runner = runner;
     this.born = born;
     this.reserved = task.step.spec.reserved();
+    this.stuckBefore = task.stuck;
   }
 
   boolean is(TaskKey key, int run) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/Task.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Task.java
@@ -9,6 +9,10 @@
   int lastRun;
 
   int failures;
+
+  /** How often its runs, or its gang's, were stopped as stuck by this owner. */
+  int stuck;
+
   boolean done;
 
   /** Checkpoint that the next run continues from, empty for none. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
@@ -19,6 +19,14 @@
   /** How many intervals of checkpoints a run may go without a new one. */
   private static final double CHECKPOINT_FACTOR = 2;
 
+  /**
+   * How many times its estimate a run may take while nothing else is known; estimates are rough.
+   */
+  private static final double ESTIMATE_FACTOR = 10;
+
+  /** Most doublings of the time that a task may take after it was stopped as stuck. */
+  private static final int MAX_DOUBLINGS = 10;
+
   /** Time beyond each of these bounds before a run counts as stuck, in milliseconds. */
   private static final long SPARE_MILLIS = 600;
 
@@ -79,10 +87,13 @@
     }
     String why = s.spec.filler() ? "" : whyStuck(x, s);
     if (!why.isEmpty()) {
-      if (!s.spec.gang()) {
-        // Any member may be what a gang waits for.
+      if (!s.spec.gang() && x.stuckBefore == 0) {
+        // Any member may be what a gang waits for, and a task that was stuck elsewhere, too, may
+        // just be long.
         x.runner.health.hold(cell.now);
       }
+      List<Task> of = s.spec.gang() ? s.tasks : List.of(x.task);
+      of.forEach(t -> t.stuck = Math.max(t.stuck, x.stuckBefore + 1));
       x.task.failedOn = x.runner.id();
       runs.stop(x, Stop.STUCK, why);
     }
@@ -91,17 +102,26 @@
   private String whyStuck(Run x, Step s) {
     long ran = cell.now - x.sentMillis;
     long usual = cell.times.longMillis(s);
-    if (usual > 0 && ran > QUEUE_FACTOR * usual + SPARE_MILLIS) {
+    if (usual > 0 && ran > most(x, QUEUE_FACTOR * usual)) {
       return "takes longer than runs of its queue";
     }
-    if (s.longestMillis > 0 && ran > STEP_FACTOR * s.longestMillis + SPARE_MILLIS) {
+    if (s.longestMillis > 0 && ran > most(x, STEP_FACTOR * s.longestMillis)) {
       return "takes longer than the other tasks of its step";
     }
     long quiet = cell.now - Math.max(x.confirmedMillis, x.savedMillis);
     boolean saves = s.spec.checkpoints() && !s.spec.gang();
-    if (saves && quiet > CHECKPOINT_FACTOR * cell.limits.checkpointMillis() + SPARE_MILLIS) {
+    if (saves && quiet > most(x, CHECKPOINT_FACTOR * cell.limits.checkpointMillis())) {
       return "saves no checkpoint";
     }
+    boolean known = usual > 0 || s.longestMillis > 0 || saves;
+    if (!known && ran > most(x, ESTIMATE_FACTOR * s.spec.estimateMillis())) {
+      return "takes much longer than estimated";
+    }
     return "";
   }
+
+  /** Returns a bound for a run: twice as much after each time that its task was stuck. */
+  private static double most(Run x, double millis) {
+    return (millis + SPARE_MILLIS) * (1 << Math.min(MAX_DOUBLINGS, x.stuckBefore));
+  }
 }
