Name at most 100 runners in a call for advice

A wide gang waited for ever: up to 100 runners whose tickets had ended and up to 50 further ones were named in one call. The service refuses calls that name more than 100, and the same call was made again every 250 ms.

The further runners now only fill what the call has left.

Evidence: AdviceBookTest.noCallNamesMoreRunnersThanTheServiceAccepts (250 runners, 55 % allowed, a gang of 95, tickets that end while urgent work takes the room) made 16 calls with 106 runners before, all refused, and the gang did not start in 20 s; it starts now.

--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -120,7 +120,7 @@
     }
     List<Runner> named = new ArrayList<>(enough(s, q, known, needed - ticketed));
     if (missing > 0 || !s.spec.gang() && ticketed + knownRoom < needed * SPARE) {
-      named.addAll(fresh(s, q, unknown, missing));
+      named.addAll(fresh(s, q, unknown, missing, MAX_NAMED - named.size()));
     }
     return named;
   }
@@ -140,14 +140,14 @@
   }
 
   /** Returns runners of which enough are likely to be allowed for some tasks. */
-  private List<Runner> fresh(Step s, Queue q, List<Runner> unknown, int tasks) {
+  private List<Runner> fresh(Step s, Queue q, List<Runner> unknown, int tasks, int most) {
     unknown.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
     double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
     List<Runner> named = new ArrayList<>();
     double room = 0;
     for (Runner r : unknown) {
       boolean more = room < tasks * SPARE || named.size() < MIN_NAMED;
-      if (more && named.size() < MAX_NAMED / 2) {
+      if (more && named.size() < Math.min(most, MAX_NAMED / 2)) {
         named.add(r);
         room += part * placement.copies(r, s, q);
       }
