Ask about a gang wherever its runners may have room for it

Callers saw gangs wait for tens of seconds without one call for advice. A gang was asked about only if the share of allowed runners that its queue had shown, times the room of the runners it had not been told about, sufficed. The share is an average over all steps of the queue, and for the gang at hand it can be much higher.

The room alone decides now: no call is made only if the gang does not fit even if all runners it has not been told about are allowed. The answer for a runner never changes, so a step asks once about each and the calls stay bounded.

--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -114,8 +114,7 @@
       return List.of();
     }
     int missing = needed - ticketed - knownRoom;
-    double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
-    if (s.spec.gang() && missing > 0 && part * unknownRoom < missing) {
+    if (s.spec.gang() && unknownRoom < missing) {
       return List.of();
     }
     List<Runner> named = new ArrayList<>(enough(s, q, known, needed - ticketed));
--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
@@ -30,4 +30,20 @@
     assertThat(cell.refused).isZero();
     assertThat(cell.running("gang")).hasSize(95);
   }
+
+  // The share of allowed runners that earlier steps of the queue had shown decided that not even a
+  // question was asked, and a gang that fitted twice over waited for ever.
+  @Test
+  void gangIsAskedAboutAlsoWhenEarlierStepsOfItsQueueWereHardlyAllowedAnywhere() {
+    AdviceSimulation.Rule half = AdviceSimulation.allowPart(0.5, 1);
+    AdviceSimulation cell =
+        new AdviceSimulation(
+            250, 39, LARGE, (s, r) -> s.workflow().startsWith("gang") && half.allows(s, r));
+    for (int i = 0; i < 20; i++) {
+      cell.submit("rare-" + i, AdviceSimulation.ADVISED, Steps.of(1, WHOLE, 5_000));
+    }
+    cell.run(2_000);
+    cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(40, WHOLE, 5_000));
+    assertThat(cell.runUntilStarted("gang", 40, 3_000)).isTrue();
+  }
 }
