Ask about a gang in several calls at a time

Callers saw wide gangs wait for ever: one call at a time was made about a step, with a pause of 250 ms, and a call with 50 further runners takes 655 ms on the larger deployment. Tickets end after 2.5 s, so a gang that needs more runners than about three calls bring never had all its tickets at once. Calls about known and further runners together took 0.9 s and made it worse.

Up to eight calls about a gang are under way now, each with a part of the runners whose time is half of a call's fixed time (34 of 245, 570 ms). Runners about which a call is under way count with the share that the queue has shown, so that no more is asked than the gang needs. Tickets that end before an answer could come are refreshed with the others. A call without a gang is chosen as before, one at a time.

Evidence: AdviceBookTest. gangThatNeedsMostOfTheAllowedRunnersStartsWithinTheLifeOfOneTicket (100 of about 125 allowed runners of 250) failed before and passes now. New guards that pass before and after: wideGangLeavesInstancesForOthers and runnersAreNotAskedAboutAgainWhileTheirTicketsAreOfUse. WideGangTest and HeadroomTest pass.

--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -22,6 +22,12 @@
   /** Runners that are named at least, so that few calls come back without any. */
   private static final int MIN_NAMED = 6;
 
+  /** Most calls about one gang at a time. */
+  private static final int MAX_GANG_CALLS = 8;
+
+  /** Time that a call about a gang spends on its runners, as a multiple of its fixed time. */
+  private static final double GANG_CALL_FACTOR = 0.5;
+
   /** How much more room is asked for than the step needs. */
   private static final double SPARE = 1.6;
 
@@ -30,10 +36,12 @@
 
   private static final double GAIN = 0.1;
 
-  /** Shortest time between two calls about a step of the first priority, in milliseconds. */
+  /**
+   * Shortest time from an answer to the next call about urgent steps and gangs, in milliseconds.
+   */
   private static final long ASK_AGAIN_MILLIS = 30;
 
-  /** Shortest time between two calls about another step, in milliseconds. */
+  /** Shortest time from an answer to the next call about another step, in milliseconds. */
   private static final long ASK_AGAIN_LATER_MILLIS = 250;
 
   /** Time by which a ticket is taken to end early, in milliseconds. */
@@ -70,15 +78,19 @@
     for (Iterator<Step> i = wanted.iterator(); i.hasNext(); ) {
       Step s = i.next();
       Queue q = cell.queueOf(s);
+      int most = s.spec.gang() ? MAX_GANG_CALLS : 1;
       boolean may =
-          q != null && q.advice().isPresent() && s.asking == 0 && cell.now >= s.askAgainMillis;
+          q != null && q.advice().isPresent() && s.asking < most && cell.now >= s.askAgainMillis;
       if (!may || q.advice().get().decideMillis() > maxMillis) {
         continue;
       }
-      i.remove();
-      List<Runner> named = choose(s, q);
+      List<Runner> named = choose(s, q, q.advice().get());
+      if (named.isEmpty() || !s.spec.gang()) {
+        i.remove();
+      }
       if (!named.isEmpty()) {
         s.asking++;
+        named.forEach(r -> s.asked.put(r.id(), r.born));
         List<String> ids = named.stream().map(Runner::id).toList();
         return Optional.of(new AdviceRequest(s.key, ids, cost(q.advice().get(), ids.size())));
       }
@@ -86,72 +98,98 @@
     return Optional.empty();
   }
 
-  /** Returns the runners to ask about, none if the answer could not help now. */
-  private List<Runner> choose(Step s, Queue q) {
-    int needed = s.spec.gang() ? s.spec.tasks() : Math.max(1, s.startable(cell.now).size());
-    List<Runner> known = new ArrayList<>();
-    List<Runner> unknown = new ArrayList<>();
-    int ticketed = 0;
-    int knownRoom = 0;
-    int unknownRoom = 0;
+  /** What is known of the runners that have room for a step, and how many tasks fit on them. */
+  private static final class Survey {
+    /** Runners that may run the step but whose tickets do not last. */
+    final List<Runner> known = new ArrayList<>();
+
+    /** Runners that were not asked about yet. */
+    final List<Runner> unknown = new ArrayList<>();
+
+    int ticketed;
+    int knownRoom;
+    int unknownRoom;
+
+    /** Room of the first and the second kind about which calls are under way. */
+    int knownAsked;
+
+    int unknownAsked;
+  }
+
+  private Survey survey(Step s, Queue q, long lastingMillis) {
+    Survey v = new Survey();
     for (Runner r : cell.runners.values()) {
-      if (!placement.isUsable(r, s, q)) {
+      int room = placement.isUsable(r, s, q) ? placement.copies(r, s, q) : 0;
+      if (room == 0) {
         continue;
       }
-      int room = placement.copies(r, s, q);
       boolean allowed = s.allowed.contains(r.id() + r.born);
-      if (placement.hasTicket(s, r)) {
-        ticketed += room;
-      } else if (allowed && room > 0) {
-        known.add(r);
-        knownRoom += room;
-      } else if (!allowed && room > 0 && !s.denied.contains(r.id() + r.born)) {
-        unknown.add(r);
-        unknownRoom += room;
+      boolean denied = s.denied.contains(r.id() + r.born);
+      boolean asked = s.asked.containsKey(r.id());
+      if (placement.hasTicket(s, r) && s.tickets.get(r.id()).untilMillis() > lastingMillis) {
+        v.ticketed += room;
+      } else if (allowed && asked) {
+        v.knownAsked += room;
+      } else if (allowed) {
+        v.known.add(r);
+        v.knownRoom += room;
+      } else if (!denied && asked) {
+        v.unknownAsked += room;
+      } else if (!denied) {
+        v.unknown.add(r);
+        v.unknownRoom += room;
       }
     }
-    if (ticketed >= needed) {
-      return List.of();
-    }
-    int missing = needed - ticketed - knownRoom;
-    if (s.spec.gang() && unknownRoom < missing) {
+    return v;
+  }
+
+  /** Returns the runners to ask about, none if the answer could not help now. */
+  private List<Runner> choose(Step s, Queue q, Advice a) {
+    final boolean gang = s.spec.gang();
+    int needed = gang ? s.spec.tasks() : Math.max(1, s.startable(cell.now).size());
+    int most = gang ? gangPart(a) : MAX_NAMED;
+    // All members of a gang need tickets at once, also those whose calls end last.
+    long lasting = gang ? cell.now + (long) cost(a, most) : cell.now;
+    Survey v = survey(s, q, lasting);
+    int missing = needed - v.ticketed - v.knownRoom - v.knownAsked;
+    if (v.ticketed >= needed || gang && v.unknownRoom + v.unknownAsked < missing) {
       return List.of();
     }
-    List<Runner> named = new ArrayList<>(enough(s, q, known, needed - ticketed));
-    if (missing > 0 || !s.spec.gang() && ticketed + knownRoom < needed * SPARE) {
-      named.addAll(fresh(s, q, unknown, missing, MAX_NAMED - named.size()));
+    double known = SPARE * (needed - v.ticketed) - v.knownAsked;
+    List<Runner> named = first(s, q, v.known, known, 1, 0, most);
+    if (missing > 0 || !gang && v.ticketed + v.knownRoom < needed * SPARE) {
+      double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
+      double fresh = SPARE * missing - part * v.unknownAsked;
+      int least = v.unknownAsked > 0 ? 0 : MIN_NAMED;
+      int left = Math.min(most - named.size(), MAX_NAMED / 2);
+      named.addAll(first(s, q, v.unknown, fresh, part, least, left));
     }
     return named;
   }
 
-  /** Returns the best of the runners that may run a step, with room for some tasks and a few. */
-  private List<Runner> enough(Step s, Queue q, List<Runner> known, int tasks) {
-    known.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
+  /**
+   * Returns the best of some runners, {@code least} to {@code most} of them, up to those of which
+   * {@code part} has room for {@code tasks}.
+   */
+  private List<Runner> first(
+      Step s, Queue q, List<Runner> runners, double tasks, double part, int least, int most) {
+    runners.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
     List<Runner> named = new ArrayList<>();
     double room = 0;
-    for (Runner r : known) {
-      if (room < tasks * SPARE && named.size() < MAX_NAMED) {
-        named.add(r);
-        room += placement.copies(r, s, q);
+    for (Runner r : runners) {
+      if (named.size() >= most || room >= tasks && named.size() >= least) {
+        break;
       }
+      named.add(r);
+      room += part * placement.copies(r, s, q);
     }
     return named;
   }
 
-  /** Returns runners of which enough are likely to be allowed for some tasks. */
-  private List<Runner> fresh(Step s, Queue q, List<Runner> unknown, int tasks, int most) {
-    unknown.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
-    double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
-    List<Runner> named = new ArrayList<>();
-    double room = 0;
-    for (Runner r : unknown) {
-      boolean more = room < tasks * SPARE || named.size() < MIN_NAMED;
-      if (more && named.size() < Math.min(most, MAX_NAMED / 2)) {
-        named.add(r);
-        room += part * placement.copies(r, s, q);
-      }
-    }
-    return named;
+  /** Returns how many runners one of several calls about a gang names. */
+  private static int gangPart(Advice a) {
+    double runners = GANG_CALL_FACTOR * a.decideMillis() / Math.max(0.01, a.perRunnerMillis());
+    return (int) Math.max(MIN_NAMED, Math.min(MAX_NAMED, runners));
   }
 
   /** Asks ahead for a step whose predecessors are about to be done. */
@@ -185,9 +223,10 @@
   /** Takes over an answer; {@code tickets} is null if the call failed. */
   void answered(Step s, List<String> named, Map<String, String> tickets, long validMillis) {
     s.asking--;
+    named.forEach(s.asked::remove);
     Queue q = cell.queueOf(s);
-    boolean urgent = q != null && q.priority() == 0;
-    s.askAgainMillis = cell.now + (urgent ? ASK_AGAIN_MILLIS : ASK_AGAIN_LATER_MILLIS);
+    boolean soon = q != null && q.priority() == 0 || s.spec.gang() && tickets != null;
+    s.askAgainMillis = cell.now + (soon ? ASK_AGAIN_MILLIS : ASK_AGAIN_LATER_MILLIS);
     if (tickets == null || q == null) {
       return;
     }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Step.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Step.java
@@ -1,6 +1,7 @@
 package dev.dandelionport.core.workflow;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +37,9 @@
   /** Calls for advice that are under way. */
   int asking;
 
+  /** Lives of the runners about which calls are under way, by the runners' names. */
+  final Map<String, Long> asked = new HashMap<>();
+
   /** When advice may be asked for again, on the owner's steady clock. */
   long askAgainMillis;
 
--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
@@ -46,4 +46,36 @@
     cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(40, WHOLE, 5_000));
     assertThat(cell.runUntilStarted("gang", 40, 3_000)).isTrue();
   }
+
+  // A gang was asked about in one call after the other, and its first tickets ended before the last
+  // of its runners had one.
+  @Test
+  void gangThatNeedsMostOfTheAllowedRunnersStartsWithinTheLifeOfOneTicket() {
+    AdviceSimulation cell =
+        new AdviceSimulation(250, 39, LARGE, AdviceSimulation.allowPart(0.5, 1));
+    cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(100, WHOLE, 5_000));
+    assertThat(cell.runUntilStarted("gang", 100, LARGE.validMillis())).isTrue();
+  }
+
+  // Guards against a waiting gang whose calls take all instances from the others.
+  @Test
+  void wideGangLeavesInstancesForOthers() {
+    AdviceSimulation cell =
+        new AdviceSimulation(250, 39, LARGE, AdviceSimulation.allowPart(0.5, 1));
+    cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(100, WHOLE, 5_000));
+    cell.submit("later", AdviceSimulation.ADVISED, Steps.of(1, WHOLE, 5_000));
+    assertThat(cell.runUntilStarted("later", 1, 500)).isTrue();
+  }
+
+  // Guards against calls that go on although the gang has all the tickets it can use.
+  @Test
+  void runnersAreNotAskedAboutAgainWhileTheirTicketsAreOfUse() {
+    AdviceSimulation cell =
+        new AdviceSimulation(100, 39, LARGE, AdviceSimulation.allowPart(0.5, 1));
+    cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(20, WHOLE, 5_000));
+    cell.run(2_000);
+    assertThat(cell.running("gang")).hasSize(20);
+    assertThat(cell.asked.stream().mapToInt(a -> a.runners().size()).sum())
+        .isEqualTo(cell.named("gang").size());
+  }
 }
