--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
@@ -0,0 +1,81 @@
+package dev.dandelionport.core.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.testing.Steps;
+import dev.dandelionport.core.workflow.ClusterPolicy.Advice;
+import org.junit.jupiter.api.Test;
+
+class AdviceBookTest {
+
+  private static final Advice LARGE = new Advice(380, 5.5, 2_500);
+
+  /** A task of which a runner takes one. */
+  private static final ResourceVector WHOLE = new ResourceVector(0, 0, 58_000, 17_392, 0);
+
+  // A call named all runners whose tickets had ended and further ones besides; the service refused
+  // it for its length, and the same call was made again and again.
+  @Test
+  void noCallNamesMoreRunnersThanTheServiceAccepts() {
+    AdviceSimulation cell =
+        new AdviceSimulation(250, 2, LARGE, AdviceSimulation.allowPart(0.55, 1));
+    cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(95, WHOLE, 5_000));
+    cell.run(1_500);
+    // Urgent work takes the room until the first tickets have ended.
+    cell.submit("urgent", AdviceSimulation.URGENT, Steps.of(250, WHOLE, 3_000));
+    cell.run(3_000);
+    cell.end("urgent");
+    cell.run(20_000);
+    assertThat(cell.refused).isZero();
+    assertThat(cell.running("gang")).hasSize(95);
+  }
+
+  // The share of allowed runners that earlier steps of the queue had shown decided that not even a
+  // question was asked, and a gang that fitted twice over waited for ever.
+  @Test
+  void gangIsAskedAboutAlsoWhenEarlierStepsOfItsQueueWereHardlyAllowedAnywhere() {
+    AdviceSimulation.Rule half = AdviceSimulation.allowPart(0.5, 1);
+    AdviceSimulation cell =
+        new AdviceSimulation(
+            250, 39, LARGE, (s, r) -> s.workflow().startsWith("gang") && half.allows(s, r));
+    for (int i = 0; i < 20; i++) {
+      cell.submit("rare-" + i, AdviceSimulation.ADVISED, Steps.of(1, WHOLE, 5_000));
+    }
+    cell.run(2_000);
+    cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(40, WHOLE, 5_000));
+    assertThat(cell.runUntilStarted("gang", 40, 3_000)).isTrue();
+  }
+
+  // A gang was asked about in one call after the other, and its first tickets ended before the last
+  // of its runners had one.
+  @Test
+  void gangThatNeedsMostOfTheAllowedRunnersStartsWithinTheLifeOfOneTicket() {
+    AdviceSimulation cell =
+        new AdviceSimulation(250, 39, LARGE, AdviceSimulation.allowPart(0.5, 1));
+    cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(100, WHOLE, 5_000));
+    assertThat(cell.runUntilStarted("gang", 100, LARGE.validMillis())).isTrue();
+  }
+
+  // Guards against a waiting gang whose calls take all instances from the others.
+  @Test
+  void wideGangLeavesInstancesForOthers() {
+    AdviceSimulation cell =
+        new AdviceSimulation(250, 39, LARGE, AdviceSimulation.allowPart(0.5, 1));
+    cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(100, WHOLE, 5_000));
+    cell.submit("later", AdviceSimulation.ADVISED, Steps.of(1, WHOLE, 5_000));
+    assertThat(cell.runUntilStarted("later", 1, 500)).isTrue();
+  }
+
+  // Guards against calls that go on although the gang has all the tickets it can use.
+  @Test
+  void runnersAreNotAskedAboutAgainWhileTheirTicketsAreOfUse() {
+    AdviceSimulation cell =
+        new AdviceSimulation(100, 39, LARGE, AdviceSimulation.allowPart(0.5, 1));
+    cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(20, WHOLE, 5_000));
+    cell.run(2_000);
+    assertThat(cell.running("gang")).hasSize(20);
+    assertThat(cell.asked.stream().mapToInt(a -> a.runners().size()).sum())
+        .isEqualTo(cell.named("gang").size());
+  }
+}
