Say in the log how busy the owner of the workflows is

Event DP2018 is written every 2 s while an instance owns the workflows, also while it rebuilds them: waiting steps and runs by queue, runners by state, passes with their longest and mean time, steps looked at and cut off by the bound, batches and records that are not stored and the age of the oldest, orders that wait on links, holds under way, advice lanes, calls that wait for the owner to open, and how late its timer runs.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/AdviceLanes.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/AdviceLanes.java
@@ -41,6 +41,15 @@
     void advised(AdviceRequest ask, Map<String, String> tickets, long validMillis);
   }
 
+  /**
+   * How many instances are in a state.
+   *
+   * @param busy a call is under way
+   * @param free it gets the next call
+   * @param failed it failed a call and gets none for a while
+   */
+  record Counts(int busy, int free, int failed) {}
+
   private static final class Lane {
     final InstanceInfo member;
     long heardMillis;
@@ -91,6 +100,24 @@
     }
   }
 
+  /** Returns how many of the instances that are there can take a call now. */
+  Counts counts() {
+    long now = context.nowMillis();
+    int busy = 0;
+    int free = 0;
+    int failed = 0;
+    for (Lane l : lanes.values()) {
+      if (l.busy) {
+        busy++;
+      } else if (now - l.failedMillis <= FAILED_MILLIS) {
+        failed++;
+      } else {
+        free++;
+      }
+    }
+    return new Counts(busy, free, failed);
+  }
+
   private void ask(Lane lane, AdviceRequest ask) {
     lane.busy = true;
     long timeout = (long) ask.costMillis() + SLACK_MILLIS;
--- a/core/src/main/java/dev/dandelionport/core/dispatch/DispatchTopic.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchTopic.java
@@ -4,6 +4,8 @@
 public enum DispatchTopic {
   OWNER_CLAIMED,
   OWNER_OPEN,
+  /** How busy the owner is, at regular times. */
+  OWNER_LOAD,
   OWNER_LOST,
   OWNER_SEEN,
   POLICY_IN_FORCE,
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -133,6 +133,16 @@
     }
   }
 
+  /** Returns how many orders wait for one under way to be answered. */
+  int ordersWaiting() {
+    return orders.size();
+  }
+
+  /** Returns whether a call that asks the runner is under way. */
+  boolean isHolding() {
+    return holding || looking;
+  }
+
   private String id() {
     return address.runner();
   }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
@@ -57,13 +57,17 @@
     final Transaction transaction;
     final String key;
     final List<Runnable> waiting;
+    final int records;
+    final long writtenMillis;
     boolean stored;
     boolean sending;
 
-    Batch(Transaction transaction, String key, List<Runnable> waiting) {
-      this.transaction = transaction;
+    Batch(Transaction t, String key, List<Runnable> waiting, int records, long writtenMillis) {
+      this.transaction = t;
       this.key = key;
       this.waiting = waiting;
+      this.records = records;
+      this.writtenMillis = writtenMillis;
     }
   }
 
@@ -126,6 +130,17 @@
     return inFlight.isEmpty() && records.isEmpty() && waiting.isEmpty();
   }
 
+  /** Returns what is not stored yet. */
+  JournalBacklog backlog() {
+    int n = records.size();
+    for (Batch b : inFlight) {
+      n += b.records;
+    }
+    Batch oldest = inFlight.peek();
+    long age = oldest == null ? 0 : context.nowMillis() - oldest.writtenMillis;
+    return new JournalBacklog(inFlight.size(), n, age);
+  }
+
   /** Adds records; {@code durable} runs under the shard's lock once they are stored. */
   void append(List<WorkflowRecord> more, Runnable durable) {
     if (stopped) {
@@ -192,7 +207,7 @@
                 new Condition(key, SharedStore.ABSENT)),
             List.of(new Write(key, bytes, SharedStore.NO_LEASE)),
             deletes);
-    Batch b = new Batch(t, key, waiting);
+    Batch b = new Batch(t, key, waiting, records.size(), lastWriteMillis);
     records = new ArrayList<>();
     waiting = new ArrayList<>();
     inFlight.add(b);
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -39,6 +39,9 @@
   /** Interval at which workflows that ended long ago are forgotten, in milliseconds. */
   private static final long FORGET_MILLIS = 5_000;
 
+  /** Interval at which it is reported how busy the owner is, in milliseconds. */
+  private static final long LOAD_MILLIS = 2_000;
+
   /** Most calls that wait for the workflows to be rebuilt. */
   private static final int MAX_EARLY = 2_000;
 
@@ -59,6 +62,7 @@
   private final Surroundings surroundings;
   private final AdviceLanes lanes;
   private final CallerDesk desk;
+  private final OwnerLoad load;
   private final Map<String, RunnerLink> links = new HashMap<>();
   private final Deque<Early> early = new ArrayDeque<>();
   private final long formerLapsedMillis;
@@ -85,6 +89,7 @@
     this.surroundings = new Surroundings(context, shard, this::surroundingsChanged);
     this.lanes = new AdviceLanes(context, shard, this::advised);
     this.desk = new CallerDesk(scheduler, surroundings);
+    this.load = new OwnerLoad(context, scheduler, lanes, links.values());
     this.claimedMillis = context.nowMillis();
     this.storeSeenMillis = claimedMillis;
     this.formerLapsedMillis =
@@ -95,10 +100,24 @@
 
   /** Reads the history and starts; call it without the lock. */
   void start() {
-    shard.run(surroundings::start);
+    shard.run(
+        () -> {
+          surroundings.start();
+          context.later(shard, LOAD_MILLIS, this::reportLoad);
+        });
     read();
   }
 
+  private void reportLoad() {
+    if (ended) {
+      return;
+    }
+    JournalBacklog backlog = journal == null ? JournalBacklog.NONE : journal.backlog();
+    Object[] fields = load.take(revision, open, early.size(), backlog);
+    shard.afterwards(() -> context.report(DispatchTopic.OWNER_LOAD, fields));
+    context.later(shard, LOAD_MILLIS, this::reportLoad);
+  }
+
   private void read() {
     HistoryReader.read(context.store()).whenComplete((h, e) -> shard.run(() -> replay(h, e)));
   }
@@ -180,6 +199,7 @@
       return;
     }
     now();
+    load.ticked();
     if (open) {
       surroundings.expire();
       scheduler.tick();
@@ -197,6 +217,7 @@
         journal.snapshot(scheduler.snapshot());
       }
     }
+    load.tickIn(TICK_MILLIS);
     context.later(shard, TICK_MILLIS, this::tick);
   }
 
@@ -236,6 +257,7 @@
     take();
     lanes.fill(scheduler::nextAsk);
     long end = context.time().monotonicNanos();
+    load.passed(end - begun);
     long gap = Math.max(PASS_MILLIS, TimeUnit.NANOSECONDS.toMillis(PASS_PARTS * (end - begun)));
     nextPassMillis = TimeUnit.NANOSECONDS.toMillis(begun) + gap;
   }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -42,6 +42,8 @@
   /** Number of the latest pass, from 1. */
   private long number;
 
+  private PassCounts counts = PassCounts.NONE;
+
   Placement(Cell cell, Runs runs, AdviceBook advice) {
     this.cell = cell;
     this.runs = runs;
@@ -63,10 +65,13 @@
     room.update();
     number++;
     int looked = 0;
-    for (Step s : order()) {
+    int reached = 0;
+    List<Step> order = order();
+    for (Step s : order) {
       if (looked == MAX_STEPS) {
         break;
       }
+      reached++;
       s.reachedPass = number;
       Queue q = cell.queueOf(s);
       if (q == null || isAtCeiling(s) || !s.hasStartable(cell.now)) {
@@ -91,6 +96,14 @@
         }
       }
     }
+    counts = counts.plus(looked, order.size() - reached);
+  }
+
+  /** Returns what the passes since the last call looked at. */
+  PassCounts takeCounts() {
+    PassCounts c = counts;
+    counts = PassCounts.NONE;
+    return c;
   }
 
   /** Returns whether the latest pass came as far as a step. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -317,6 +317,11 @@
     waits.scan();
   }
 
+  /** Returns how busy the cell is; what passes looked at is counted since the last call. */
+  public CellLoad load() {
+    return CellLoad.of(cell, placement.takeCounts());
+  }
+
   /** Forgets workflows that ended long ago. */
   public void forget() {
     List<String> gone = new ArrayList<>();
--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/OwnerLoadTest.java
@@ -0,0 +1,139 @@
+package dev.dandelionport.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.testing.Steps;
+import dev.dandelionport.core.workflow.StepSpec;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class OwnerLoadTest {
+
+  private static StepSpec step(int tasks, long milliCores) {
+    return Steps.of(tasks, new ResourceVector(0, 0, milliCores, 10, 0), 400);
+  }
+
+  private static List<WorkflowCluster.Report> loads(WorkflowCluster c) {
+    return c.reports.stream().filter(r -> r.topic() == DispatchTopic.OWNER_LOAD).toList();
+  }
+
+  /** Runs until the owner has reported its load once more and returns the figures. */
+  private static Map<String, Object> next(WorkflowCluster c) {
+    int before = loads(c).size();
+    assertThat(c.time.runUntil(() -> loads(c).size() > before, 2_100)).isTrue();
+    return loads(c).get(before).fields();
+  }
+
+  // Guards against an owner that says nothing while it is idle, and against instances that are not
+  // the owner and report all the same.
+  @Test
+  void onlyTheOwnerReportsItsLoadEachTwoSeconds() {
+    WorkflowCluster c = new WorkflowCluster(1, 3);
+    c.time.runFor(2_000);
+    String owner = c.owner().orElseThrow().name;
+    c.reports.clear();
+    c.time.runFor(10_000);
+    assertThat(loads(c)).hasSize(5).allMatch(r -> r.node().equals(owner));
+    assertThat(loads(c)).allMatch(r -> r.fields().get("millis").equals(2_000L));
+    Map<String, Object> idle = loads(c).get(0).fields();
+    assertThat(idle).containsEntry("open", true).containsEntry("listed", 6);
+    assertThat(idle).containsEntry("answered", 6).containsEntry("waitingTasks", 0);
+    assertThat(idle).containsEntry("adviceFree", 3).containsEntry("adviceBusy", 0);
+    assertThat((long) idle.get("passes")).isPositive();
+    assertThat(idle).containsEntry("cutOff", 0L).containsEntry("lagMaxMillis", 0.0);
+  }
+
+  // Guards against a backlog that shows in no figure.
+  @Test
+  void waitingAndRunningWorkIsCountedByQueue() {
+    WorkflowCluster c = new WorkflowCluster(2, 2);
+    c.time.runFor(2_000);
+    next(c);
+    c.time.runFor(1_700);
+    c.submit(c.any(), "large", step(3, 5_000));
+    c.submit(c.any(), "fits", step(30, 1_000));
+    Map<String, Object> load = next(c);
+    assertThat(load).containsEntry("waitingSteps", "{q=2}").containsEntry("waitingTasks", 9);
+    assertThat(load).containsEntry("runs", "{q=24}").containsEntry("coresUsedPercent", 100);
+    assertThat(load).containsEntry("holds", 6);
+    assertThat((long) load.get("looked")).isPositive();
+  }
+
+  // Guards against a bound of the passes that keeps work from starting and shows nowhere.
+  @Test
+  void stepsThatPassesDoNotReachAreCounted() {
+    WorkflowCluster c = new WorkflowCluster(3, 1);
+    c.time.runFor(2_000);
+    for (int i = 0; i < 230; i++) {
+      c.submit(c.any(), "large" + i, step(1, 5_000));
+    }
+    next(c);
+    Map<String, Object> load = next(c);
+    assertThat(load).containsEntry("waitingSteps", "{q=230}").containsEntry("cutOffMost", 30);
+    long passes = (long) load.get("passes");
+    assertThat(load).containsEntry("looked", 200 * passes).containsEntry("cutOff", 30 * passes);
+  }
+
+  // Guards against runners that drop out of use, and orders that wait for them, unseen.
+  @Test
+  void silentRunnersAndWaitingOrdersAreCounted() {
+    WorkflowCluster c = new WorkflowCluster(4, 1);
+    c.time.runFor(2_000);
+    next(c);
+    c.time.runFor(1_800);
+    c.runners.cut.add("r0");
+    c.submit(c.any(), "w", step(24, 1_000));
+    Map<String, Object> load = next(c);
+    assertThat(load).containsEntry("ordersWaiting", 1).containsEntry("ordersMost", 1);
+    assertThat(next(c)).containsEntry("silent", 1).containsEntry("answered", 6);
+    c.store.remove("runners/r5");
+    assertThat(next(c)).containsEntry("listed", 5).containsEntry("gone", 0);
+  }
+
+  // Guards against a store that stops the whole cell while the owner looks idle.
+  @Test
+  void recordsThatTheStoreDoesNotTakeAreCounted() {
+    WorkflowCluster c = new WorkflowCluster(5, 1);
+    c.time.runFor(2_000);
+    assertThat(next(c)).containsEntry("journalBatches", 0).containsEntry("journalRecords", 0);
+    c.time.runFor(1_500);
+    c.store.refused.add("n0");
+    c.submit(c.any(), "w", step(4, 1_000));
+    Map<String, Object> load = next(c);
+    assertThat((int) load.get("journalBatches")).isPositive();
+    // One record for the workflow and one for each run that is to start.
+    assertThat(load).containsEntry("journalRecords", 5);
+    assertThat((long) load.get("journalOldestMillis")).isBetween(450L, 500L);
+  }
+
+  // Guards against a process without processor time that looks like one without work.
+  @Test
+  void lateTimerShowsAsLag() {
+    WorkflowCluster c = new WorkflowCluster(6, 1);
+    c.time.runFor(2_000);
+    next(c);
+    WorkflowCluster.Node n = c.owner().orElseThrow();
+    n.process.pause();
+    c.time.runFor(400);
+    n.process.resume();
+    Map<String, Object> load = next(c);
+    assertThat((double) load.get("lagMaxMillis")).isBetween(350.0, 400.0);
+    assertThat(next(c)).containsEntry("lagMaxMillis", 0.0);
+  }
+
+  // Guards against callers that wait for an owner that cannot open, without a figure for them.
+  @Test
+  void callsThatWaitForTheOwnerToOpenAreCounted() {
+    WorkflowCluster c = new WorkflowCluster(7, 1);
+    c.time.runFor(2_000);
+    c.store.remove("op/config");
+    c.kill("n0");
+    c.start("n0");
+    c.time.runFor(2_500);
+    c.submit(c.any(), "w", step(1, 1_000));
+    Map<String, Object> load = next(c);
+    assertThat(load).containsEntry("open", false).containsEntry("early", 1);
+  }
+}
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -31,6 +31,9 @@
 
   private static final int RUNNERS = 6;
 
+  /** What a node reported. */
+  record Report(String node, DispatchTopic topic, Map<String, Object> fields) {}
+
   /** One process of an instance. */
   final class Node {
     final String name;
@@ -56,7 +59,7 @@
                   () ->
                       new DispatchSettings(
                           1_000, 5_000, 3_500, new WorkflowLimits(3_000, 200, 3, 2_000, 600_000)),
-                  (t, f) -> {}));
+                  (t, f) -> reports.add(new Report(name, t, f))));
       instance.start();
     }
   }
@@ -107,6 +110,7 @@
   final FakeRunners runners;
   final Map<String, Node> nodes = new HashMap<>();
   final java.util.Set<String> cutPeers = new java.util.HashSet<>();
+  final List<Report> reports = new ArrayList<>();
   private int lives;
 
   WorkflowCluster(long seed, int count) {
--- a/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
+++ b/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
@@ -17,6 +17,7 @@
     return switch (topic) {
       case OWNER_CLAIMED -> LogEvent.WORKFLOWS_REBUILT;
       case OWNER_OPEN -> LogEvent.WORKFLOWS_SERVED;
+      case OWNER_LOAD -> LogEvent.WORKFLOW_LOAD;
       case OWNER_LOST -> LogEvent.WORKFLOWS_LOST;
       case OWNER_SEEN -> LogEvent.WORKFLOW_OWNER;
       case POLICY_IN_FORCE -> LogEvent.POLICY_IN_FORCE;
