Explain how to get from a workflow's id to why it waits

On-call engineers have only logs and metrics. The operators' page has a section "A workflow waits": the way from an id to the reason, what to look at for each reason, two examples from runs of WaitReportTest and OwnerLoadTest, and the signs of a busy owner. docs/EVENTS.md explains each field of the WAITING decision, docs/METRICS.md says that the platform program has no metrics yet.

Metrics: the platform program has no registry and no endpoint that could be read (docs/platform.md, section 8), so none were added.

--- a/core/src/main/java/dev/dandelionport/core/workflow/WaitReport.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WaitReport.java
@@ -78,7 +78,7 @@
     WaitRoom room = new WaitRoom(cell, placement, s, q);
     List<Object> fields = new ArrayList<>();
     add(fields, "step", s.key.toString());
-    add(fields, "why", why(s, q, room));
+    add(fields, "why", why(s, q, room).text());
     add(fields, "waitedMillis", cell.now - s.waitsSinceMillis);
     add(fields, "acceptedAgoMillis", cell.wallMillis - s.workflow.acceptedWallMillis);
     add(fields, "dueInMillis", s.dueMillis - cell.now);
@@ -107,50 +107,46 @@
   }
 
   /** Returns the first thing that keeps a step from starting, in the order of the placement. */
-  private String why(Step s, Queue q, WaitRoom room) {
+  private WaitReason why(Step s, Queue q, WaitRoom room) {
     if (q == null) {
-      return "its queue is not configured";
+      return WaitReason.NO_QUEUE;
     }
     if (s.spec.gang() && s.hasRuns()) {
-      return "members of its gang's earlier run have not ended";
+      return WaitReason.EARLIER_RUN;
     }
     if (!s.hasStartable(cell.now)) {
-      return "it failed and is tried again later";
+      return WaitReason.RETRY;
     }
     int needed = s.spec.gang() ? s.spec.tasks() : 1;
     if (cell.allowedByCeiling(s) < needed) {
-      return "its account is at its ceiling";
+      return WaitReason.CEILING;
     }
     if (!placement.reached(s)) {
-      return "the pass ended before it";
+      return WaitReason.NOT_REACHED;
     }
     if (room.usable() == 0) {
-      return "no runner can be used";
+      return WaitReason.NO_RUNNER;
     }
     if (room.empty() < needed) {
-      return "it does not fit on empty runners either";
+      return WaitReason.TOO_LARGE;
     }
     if (room.possible() < needed) {
-      return room.possibleWithKept() < needed
-          ? "too little room"
-          : "the room is kept for urgent work";
+      return room.possibleWithKept() < needed ? WaitReason.NO_ROOM : WaitReason.KEPT_ROOM;
     }
     return whyNoTicket(s, q, room, needed);
   }
 
-  private String whyNoTicket(Step s, Queue q, WaitRoom room, int needed) {
+  private WaitReason whyNoTicket(Step s, Queue q, WaitRoom room, int needed) {
     if (room.ticketed() >= needed) {
-      return "it fits and was not started";
+      return WaitReason.FITS;
     }
     if (s.asking > 0) {
-      return "advice is under way";
+      return WaitReason.ASKING;
     }
     if (room.allowed() >= needed) {
-      return "allowed runners with room have no ticket";
+      return WaitReason.NO_TICKET;
     }
     double likely = room.allowed() + advice.allowedPart(q) * room.unasked();
-    return s.spec.gang() && likely < needed
-        ? "too few runners with room are likely to be allowed"
-        : "advice was not asked for yet";
+    return s.spec.gang() && likely < needed ? WaitReason.UNLIKELY : WaitReason.NOT_ASKED;
   }
 }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/OwnerLoadTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/OwnerLoadTest.java
@@ -5,6 +5,10 @@
 import dev.dandelionport.core.common.ResourceVector;
 import dev.dandelionport.core.testing.Steps;
 import dev.dandelionport.core.workflow.StepSpec;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -136,4 +140,20 @@
     Map<String, Object> load = next(c);
     assertThat(load).containsEntry("open", false).containsEntry("early", 1);
   }
+
+  // Guards against a figure that the catalogue does not explain.
+  @Test
+  void catalogueHasEveryFigure() throws IOException {
+    WorkflowCluster c = new WorkflowCluster(8, 1);
+    c.time.runFor(2_000);
+    List<String> listed =
+        Files.readAllLines(Path.of("..", "docs", "EVENTS.md")).stream()
+            .dropWhile(l -> !l.equals("## Load of the owner"))
+            .skip(1)
+            .takeWhile(l -> !l.startsWith("## "))
+            .filter(l -> l.startsWith("| ") && !l.startsWith("| Field"))
+            .flatMap(l -> Arrays.stream(l.split("\\|")[1].strip().split(", ")))
+            .toList();
+    assertThat(listed).containsExactlyInAnyOrderElementsOf(next(c).keySet());
+  }
 }
--- a/core/src/test/java/dev/dandelionport/core/workflow/WaitReportTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WaitReportTest.java
@@ -9,11 +9,17 @@
 import dev.dandelionport.core.workflow.WorkflowEffect.Note;
 import dev.dandelionport.core.workflow.WorkflowEffect.Start;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 
 class WaitReportTest {
@@ -207,4 +213,37 @@
     assertThat(line).containsEntry("why", "too few runners with room are likely to be allowed");
     assertThat(line).containsEntry("fitUnasked", 4).containsEntry("allowedPercent", 40L);
   }
+
+  // Guards against a reason in the log that the operators' page does not explain.
+  @Test
+  void operatorsPageHasEveryReason() throws IOException {
+    List<String> reasons =
+        Files.readAllLines(Path.of("..", "docs", "OPERATIONS.md")).stream()
+            .dropWhile(l -> !l.equals("## A workflow waits"))
+            .dropWhile(l -> !l.startsWith("| Reason"))
+            .takeWhile(l -> l.startsWith("|"))
+            .filter(l -> l.startsWith("| `"))
+            .map(l -> l.substring(3, l.indexOf('`', 3)))
+            .toList();
+    assertThat(reasons)
+        .containsExactlyElementsOf(Arrays.stream(WaitReason.values()).map(r -> r.text()).toList());
+  }
+
+  // Guards against a field of the line that the catalogue does not explain.
+  @Test
+  void catalogueHasEveryFieldOfTheLine() throws IOException {
+    useAdvice();
+    cell.submit("w", "batch", WorkflowFixture.step(1, 100));
+    Set<String> fields = new TreeSet<>(line("w").keySet());
+    fields.remove("at");
+    List<String> listed =
+        Files.readAllLines(Path.of("..", "docs", "EVENTS.md")).stream()
+            .dropWhile(l -> !l.equals("## Waiting steps"))
+            .skip(1)
+            .takeWhile(l -> !l.startsWith("## "))
+            .filter(l -> l.startsWith("| ") && !l.startsWith("| Field"))
+            .flatMap(l -> Arrays.stream(l.split("\\|")[1].strip().split(", ")))
+            .toList();
+    assertThat(listed).containsExactlyInAnyOrderElementsOf(fields);
+  }
 }
