--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -46,6 +46,8 @@
   /** Number of the latest pass, from 1. */
   private long passes;
 
+  private PassCounts counts = PassCounts.NONE;
+
   Placement(Cell cell, Runs runs, AdviceBook advice) {
     this.cell = cell;
     this.runs = runs;
@@ -79,12 +81,18 @@
       }
     }
     left.sort(Comparator.comparingLong(s -> s.lookedMillis));
-    for (Step s : left) {
-      if (looked == MAX_STEPS) {
-        break;
-      }
-      looked += look(s) ? 1 : 0;
+    int turns = 0;
+    while (turns < left.size() && looked < MAX_STEPS) {
+      looked += look(left.get(turns++)) ? 1 : 0;
     }
+    counts = counts.plus(looked, left.size() - turns);
+  }
+
+  /** Returns what the passes since the last call looked at. */
+  PassCounts takeCounts() {
+    PassCounts c = counts;
+    counts = PassCounts.NONE;
+    return c;
   }
 
   /** Starts what fits of a step; returns false if it was plain that nothing can start. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
@@ -24,6 +24,9 @@
    */
   private static final double ESTIMATE_FACTOR = 10;
 
+  /** Time that a run may take in any case while nothing else is known, in milliseconds. */
+  private static final double UNKNOWN_MILLIS = 10_000;
+
   /** Most doublings of the time that a task may take after it was stopped as stuck. */
   private static final int MAX_DOUBLINGS = 10;
 
@@ -114,7 +117,8 @@
       return "saves no checkpoint";
     }
     boolean known = usual > 0 || s.longestMillis > 0 || saves;
-    if (!known && ran > most(x, ESTIMATE_FACTOR * s.spec.estimateMillis())) {
+    if (!known
+        && ran > most(x, Math.max(UNKNOWN_MILLIS, ESTIMATE_FACTOR * s.spec.estimateMillis()))) {
       return "takes much longer than estimated";
     }
     return "";
