Try wider gangs and learned shares in the test of wide gangs

The random cells had no earlier steps in the gang's queue, so that its learned share of allowed runners was never wrong, and gangs of at most 60 tasks.

--- a/core/src/test/java/dev/dandelionport/core/workflow/WideGangTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WideGangTest.java
@@ -16,7 +16,7 @@
   /** Time within which a gang must start that has room twice over, in milliseconds. */
   private static final long START_MILLIS = 3_000;
 
-  private static final int CELLS = 40;
+  private static final int CELLS = 60;
 
   /** A cell of random size, load and advice. */
   private static final class RandomCell {
@@ -34,6 +34,7 @@
           new AdviceSimulation(
               runners, large ? 39 : 9, advice, AdviceSimulation.allowPart(part, seed));
       occupy();
+      earlierSteps();
       urgentLoad();
     }
 
@@ -49,6 +50,20 @@
       cell.run(200);
     }
 
+    /** Lets single tasks of the gang's queue run before, whose answers the queue learns from. */
+    private void earlierSteps() {
+      for (int i = 0; i < 10; i++) {
+        cell.submit(
+            "earlier-" + i,
+            AdviceSimulation.ADVISED,
+            Steps.of(1, new ResourceVector(0, 0, 500, 500, 0), 300));
+      }
+      cell.run(2_000);
+      for (int i = 0; i < 10; i++) {
+        cell.end("earlier-" + i);
+      }
+    }
+
     /** Lets urgent tasks run that end before the gang comes. */
     private void urgentLoad() {
       long cores = 1_000 + random.nextInt(12_000);
@@ -87,7 +102,7 @@
       RandomCell c = new RandomCell(1_000 * seed + i);
       long cores = 4_000 + c.random.nextInt(28_000);
       ResourceVector task = new ResourceVector(0, 0, cores, 2_000 + c.random.nextInt(20_000), 0);
-      int tasks = Math.min(60, c.fits("gang", task) / 2);
+      int tasks = Math.min(120, c.fits("gang", task) / 2);
       if (tasks < 2) {
         continue;
       }
