Note advice for the life of the runner that was asked about

A runner that started anew while a call was under way was taken for allowed or denied in its new life, which may be of another kind. A wrong denial stands for the whole life, so that after a failure domain has been replaced a step may never be asked about a part of its runners again.

The life is noted when the call is made; an answer about another one is passed over and the runner can be asked about again.

Evidence: AdviceBookTest.answerAboutFormerLifeOfRunnerSaysNothingAboutTheNext failed before (the task did not start in 2 s) and passes now, with WideGangTest, HeadroomTest and WorkflowSchedulerTest.

--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -223,6 +224,7 @@
   /** Takes over an answer; {@code tickets} is null if the call failed. */
   void answered(Step s, List<String> named, Map<String, String> tickets, long validMillis) {
     s.asking--;
+    final Map<String, Long> lives = new HashMap<>(s.asked);
     named.forEach(s.asked::remove);
     Queue q = cell.queueOf(s);
     boolean soon = q != null && q.priority() == 0 || s.spec.gang() && tickets != null;
@@ -233,7 +235,8 @@
     long until = cell.now + validMillis - EARLY_MILLIS;
     for (String id : named) {
       Runner r = cell.runners.get(id);
-      if (r == null) {
+      if (r == null || !Objects.equals(lives.get(id), r.born)) {
+        // The next life of a runner may be of another kind.
         continue;
       }
       String ticket = tickets.get(id);
--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
@@ -5,6 +5,7 @@
 import dev.dandelionport.core.common.ResourceVector;
 import dev.dandelionport.core.testing.Steps;
 import dev.dandelionport.core.workflow.ClusterPolicy.Advice;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 class AdviceBookTest {
@@ -78,4 +79,19 @@
     assertThat(cell.asked.stream().mapToInt(a -> a.runners().size()).sum())
         .isEqualTo(cell.named("gang").size());
   }
+
+  // A runner that started anew while it was asked about was taken for denied for all of its new
+  // life, because the answer was noted for the life at the time of the answer.
+  @Test
+  void answerAboutFormerLifeOfRunnerSaysNothingAboutTheNext() {
+    AtomicBoolean allowed = new AtomicBoolean();
+    AdviceSimulation cell = new AdviceSimulation(1, 2, LARGE, (s, r) -> allowed.get());
+    cell.submit("w", AdviceSimulation.ADVISED, Steps.of(1, WHOLE, 5_000));
+    cell.run(300);
+    assertThat(cell.asked).hasSize(1);
+    cell.reborn("r000");
+    cell.run(200);
+    allowed.set(true);
+    assertThat(cell.runUntilStarted("w", 1, 2_000)).isTrue();
+  }
 }
--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
@@ -234,6 +234,13 @@
     carryOut();
   }
 
+  /** Lets a runner without runs start anew. */
+  void reborn(String runner) {
+    tell();
+    scheduler.report(runner, new RunnerReport(2, now, List.of(), List.of()), now);
+    carryOut();
+  }
+
   /** Returns the runners that calls about a workflow have named. */
   Set<String> named(String workflow) {
     Set<String> set = new HashSet<>();
