Use a held runner again when nothing probes it

What callers saw: a gang that never starts although the room is free.

Cause: a runner that is held back takes one run as a probe and is released when that is done. A gang that needs more copies of it, or more runners than are left, takes no probe; when nothing else waits, the runner is held for good and the gang waits for ever.

Ruled out: missing advice; the runners that the step may use were known.

Change: a hold ends when the runner may be probed and is not for 2 s. Holds by the watchdog are noted in the log like the others.

--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerHealth.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerHealth.java
@@ -18,6 +18,9 @@
   private static final long BASE_MILLIS = 1_000;
   private static final long MAX_MILLIS = 8_000;
 
+  /** Time in which a runner that may be probed gets no probe until it is no longer held back. */
+  private static final long UNPROBED_MILLIS = 2_000;
+
   private double failureRate;
   private double slowness = 1;
   private int rounds;
@@ -63,6 +66,16 @@
     probes = Math.max(0, probes - 1);
   }
 
+  /**
+   * Ends the hold of a runner that nothing has probed: what waits may need more of it than a probe
+   * takes, such as a gang. Returns whether that was so.
+   */
+  boolean releaseUnprobed(long now) {
+    boolean unprobed = held && probes == 0 && now >= heldUntilMillis + UNPROBED_MILLIS;
+    held &= !unprobed;
+    return unprobed;
+  }
+
   /** Starts anew for another life of the runner. */
   void reborn() {
     failureRate = 0;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
@@ -2,6 +2,7 @@
 
 import dev.dandelionport.core.workflow.Run.Phase;
 import dev.dandelionport.core.workflow.Run.Stop;
+import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -61,6 +62,9 @@
       askAhead(s);
     }
     for (Runner r : cell.runners.values()) {
+      if (r.health.releaseUnprobed(cell.now)) {
+        noteHeld(r, false, "not probed");
+      }
       for (Run x : List.copyOf(r.runs)) {
         check(x);
       }
@@ -94,6 +98,7 @@
         // Any member may be what a gang waits for, and a task that was stuck elsewhere, too, may
         // just be long.
         x.runner.health.hold(cell.now);
+        noteHeld(x.runner, true, why);
       }
       List<Task> of = s.spec.gang() ? s.tasks : List.of(x.task);
       of.forEach(t -> t.stuck = Math.max(t.stuck, x.stuckBefore + 1));
@@ -102,6 +107,10 @@
     }
   }
 
+  private void noteHeld(Runner r, boolean held, String cause) {
+    cell.note(Topic.RUNNER_HELD, "runner", r.id(), "held", held, "cause", cause);
+  }
+
   private String whyStuck(Run x, Step s) {
     long ran = cell.now - x.sentMillis;
     long usual = cell.times.longMillis(s);
--- a/core/src/test/java/dev/dandelionport/core/workflow/WatchdogTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WatchdogTest.java
@@ -84,4 +84,24 @@
     Start s = cell.started(StartResult.PRESENT).get(0);
     assertThat(runUntilStopped(s, 60_000)).isBetween(5_000L, 20_000L);
   }
+
+  // A runner that is held back takes one run as a probe. When only a gang waited that needed more
+  // of it, it was never probed, and the gang never started.
+  @Test
+  void heldRunnerThatNothingProbesGetsWorkAgain() {
+    cell.draining.add("r2");
+    cell.runners();
+    for (int i = 0; i < 4; i++) {
+      cell.submit("bad" + i, "batch", WorkflowFixture.step(1, 100));
+      cell.started(StartResult.PRESENT).forEach(s -> cell.end(s, RunEnd.FAILED, ""));
+      cell.scheduler.cancel("bad" + i);
+    }
+    cell.submit("gang", "batch", WorkflowFixture.gang(3, 100));
+    assertThat(cell.starts()).isEmpty();
+    cell.now += 15_000;
+    cell.tell();
+    cell.scheduler.tick();
+    cell.place();
+    assertThat(cell.starts()).hasSize(3);
+  }
 }
