Keep calls that are to be made ahead until an instance is free

Asking ahead existed, but the tick noted the steps among those that wait, and the pass that follows each tick forgot them before a call was handed out. No call ahead was ever made.

They are kept apart until the next tick and come after all steps whose turn has come.

Evidence: AdviceBookTest.nextStepIsAskedAboutBeforeTheStepItDependsOnHasEnded failed before and passes now, with WideGangTest, HeadroomTest and WorkflowSchedulerTest.

--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -54,6 +54,9 @@
   /** Steps that want advice, the most urgent first. */
   private final Set<Step> wanted = new LinkedHashSet<>();
 
+  /** Steps whose predecessors are about to be done. */
+  private final Set<Step> ahead = new LinkedHashSet<>();
+
   private Placement placement;
 
   AdviceBook(Cell cell) {
@@ -69,6 +72,11 @@
     wanted.clear();
   }
 
+  /** Forgets which steps are asked about ahead; the tick tells. */
+  void clearAhead() {
+    ahead.clear();
+  }
+
   /** Notes that a step has tasks that were not placed. */
   void want(Step s) {
     wanted.add(s);
@@ -76,7 +84,11 @@
 
   /** Returns the first call that can help and costs at most {@code maxMillis}. */
   Optional<AdviceRequest> next(double maxMillis) {
-    for (Iterator<Step> i = wanted.iterator(); i.hasNext(); ) {
+    return next(wanted, maxMillis).or(() -> next(ahead, maxMillis));
+  }
+
+  private Optional<AdviceRequest> next(Set<Step> steps, double maxMillis) {
+    for (Iterator<Step> i = steps.iterator(); i.hasNext(); ) {
       Step s = i.next();
       Queue q = cell.queueOf(s);
       int most = s.spec.gang() ? MAX_GANG_CALLS : 1;
@@ -214,7 +226,7 @@
         }
       }
     }
-    wanted.add(s);
+    ahead.add(s);
   }
 
   private static double cost(Advice a, int runners) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
@@ -43,6 +43,7 @@
   void tick() {
     recurring.removeIf(w -> w.state.isFinal() || w.opened >= w.spec.recurrence().occurrences());
     recurring.forEach(runs::openDue);
+    advice.clearAhead();
     for (Step s : new ArrayList<>(cell.ready)) {
       if (s.spec.gang()) {
         gangs.checkWhole(s);
--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
@@ -94,4 +94,19 @@
     allowed.set(true);
     assertThat(cell.runUntilStarted("w", 1, 2_000)).isTrue();
   }
+
+  // Calls ahead were noted at each tick and forgotten by the pass that followed it, before any
+  // instance took them, so that each step waited for its advice once more.
+  @Test
+  void nextStepIsAskedAboutBeforeTheStepItDependsOnHasEnded() {
+    AdviceSimulation cell = new AdviceSimulation(20, 9, LARGE, (s, r) -> true);
+    cell.submit(
+        "w", AdviceSimulation.ADVISED, Steps.of(1, WHOLE, 2_000), Steps.of(1, WHOLE, 2_000, 0));
+    assertThat(cell.runUntilStarted("w", 1, 1_000)).isTrue();
+    cell.run(1_000);
+    assertThat(cell.asked).noneMatch(a -> a.step().step() == 1);
+    cell.run(1_000);
+    cell.end("w");
+    assertThat(cell.runUntilStarted("w", 1, 100)).isTrue();
+  }
 }
--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
@@ -133,10 +133,10 @@
         0);
   }
 
-  void submit(String id, String queue, StepSpec step) {
+  void submit(String id, String queue, StepSpec... steps) {
     tell();
     scheduler.submit(
-        new WorkflowSpec(id, queue, "a", "payload", List.of(step), Recurrence.ONCE, false));
+        new WorkflowSpec(id, queue, "a", "payload", List.of(steps), Recurrence.ONCE, false));
   }
 
   /** Lets the time pass. */
