Learn the runners of gangs that wait for room while instances are free

Once room came, calls had to go out to all runners with room, although the answer for a runner never changes and instances had been free all the time.

Calls that cannot help at present are now made about gangs that do not fit, at most two at a time and only when no other call is wanted. Each runner is asked about once; what was learned also tells a later pass at once whether the gang can fit.

Evidence: AdviceBookTest. gangThatWaitsForRoomLearnsItsRunnersWhileInstancesAreFree (250 runners, nine instances, a gang of 100) failed before: no runner was named in 6 s. WideGangTest, HeadroomTest and WorkflowSchedulerTest pass.

--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -26,6 +27,12 @@
   /** Most calls about one gang at a time. */
   private static final int MAX_GANG_CALLS = 8;
 
+  /**
+   * Most calls at a time about gangs that do not fit at present. Which runners are allowed never
+   * changes, so that such a call saves others later.
+   */
+  private static final int MAX_LEARNING_CALLS = 2;
+
   /** Time that a call about a gang spends on its runners, as a multiple of its fixed time. */
   private static final double GANG_CALL_FACTOR = 0.5;
 
@@ -57,6 +64,12 @@
   /** Steps whose predecessors are about to be done. */
   private final Set<Step> ahead = new LinkedHashSet<>();
 
+  /** Gangs that do not fit at present, whatever runners are allowed. */
+  private final Set<Step> unfit = new LinkedHashSet<>();
+
+  /** Gangs about which a call is under way that cannot help at present. */
+  private final Set<Step> learning = new HashSet<>();
+
   private Placement placement;
 
   AdviceBook(Cell cell) {
@@ -70,6 +83,7 @@
   /** Forgets which steps want advice; a new pass of the placement tells. */
   void clear() {
     wanted.clear();
+    unfit.clear();
   }
 
   /** Forgets which steps are asked about ahead; the tick tells. */
@@ -82,9 +96,9 @@
     wanted.add(s);
   }
 
-  /** Returns the first call that can help and costs at most {@code maxMillis}. */
+  /** Returns the most useful call that costs at most {@code maxMillis}. */
   Optional<AdviceRequest> next(double maxMillis) {
-    return next(wanted, maxMillis).or(() -> next(ahead, maxMillis));
+    return next(wanted, maxMillis).or(() -> next(ahead, maxMillis)).or(() -> learn(maxMillis));
   }
 
   private Optional<AdviceRequest> next(Set<Step> steps, double maxMillis) {
@@ -92,25 +106,66 @@
       Step s = i.next();
       Queue q = cell.queueOf(s);
       int most = s.spec.gang() ? MAX_GANG_CALLS : 1;
-      boolean may =
-          q != null && q.advice().isPresent() && s.asking < most && cell.now >= s.askAgainMillis;
-      if (!may || q.advice().get().decideMillis() > maxMillis) {
+      if (!mayAsk(s, q, most, maxMillis)) {
         continue;
       }
-      List<Runner> named = choose(s, q, q.advice().get());
+      Advice a = q.advice().get();
+      List<Runner> named = choose(s, q, a);
       if (named.isEmpty() || !s.spec.gang()) {
         i.remove();
       }
       if (!named.isEmpty()) {
-        s.asking++;
-        named.forEach(r -> s.asked.put(r.id(), r.born));
-        List<String> ids = named.stream().map(Runner::id).toList();
-        return Optional.of(new AdviceRequest(s.key, ids, cost(q.advice().get(), ids.size())));
+        return Optional.of(ask(s, a, named));
+      }
+      if (s.spec.gang()) {
+        unfit.add(s);
       }
     }
     return Optional.empty();
   }
 
+  /** Returns a call that tells which runners may run a gang that does not fit at present. */
+  private Optional<AdviceRequest> learn(double maxMillis) {
+    for (Iterator<Step> i = unfit.iterator();
+        i.hasNext() && learning.size() < MAX_LEARNING_CALLS; ) {
+      Step s = i.next();
+      Queue q = cell.queueOf(s);
+      if (!mayAsk(s, q, 1, maxMillis)) {
+        continue;
+      }
+      i.remove();
+      List<Runner> unknown = new ArrayList<>();
+      for (Runner r : cell.runners.values()) {
+        String life = r.id() + r.born;
+        boolean known = s.allowed.contains(life) || s.denied.contains(life);
+        if (!known && placement.isUsable(r, s, q)) {
+          unknown.add(r);
+        }
+      }
+      if (!unknown.isEmpty()) {
+        Advice a = q.advice().get();
+        learning.add(s);
+        return Optional.of(ask(s, a, unknown.subList(0, Math.min(unknown.size(), gangPart(a)))));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private boolean mayAsk(Step s, Queue q, int mostCalls, double maxMillis) {
+    return q != null
+        && q.advice().isPresent()
+        && q.advice().get().decideMillis() <= maxMillis
+        && s.asking < mostCalls
+        && cell.now >= s.askAgainMillis;
+  }
+
+  private static AdviceRequest ask(Step s, Advice a, List<Runner> named) {
+    s.asking++;
+    named.forEach(r -> s.asked.put(r.id(), r.born));
+    List<String> ids = named.stream().map(Runner::id).toList();
+    return new AdviceRequest(s.key, ids, cost(a, ids.size()));
+  }
+
   /** What is known of the runners that have room for a step, and how many tasks fit on them. */
   private static final class Survey {
     /** Runners that may run the step but whose tickets do not last. */
@@ -236,6 +291,7 @@
   /** Takes over an answer; {@code tickets} is null if the call failed. */
   void answered(Step s, List<String> named, Map<String, String> tickets, long validMillis) {
     s.asking--;
+    learning.remove(s);
     final Map<String, Long> lives = new HashMap<>(s.asked);
     named.forEach(s.asked::remove);
     Queue q = cell.queueOf(s);
--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
@@ -109,4 +109,40 @@
     cell.end("w");
     assertThat(cell.runUntilStarted("w", 1, 100)).isTrue();
   }
+
+  // A gang that had waited for room learned its runners only when the room was there, and the room
+  // was lost meanwhile.
+  @Test
+  void gangThatWaitsForRoomLearnsItsRunnersWhileInstancesAreFree() {
+    AdviceSimulation cell = new AdviceSimulation(250, 9, LARGE, AdviceSimulation.allowPart(0.5, 1));
+    cell.submit("other", AdviceSimulation.PLAIN, Steps.of(200, WHOLE, 20_000));
+    cell.run(100);
+    cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(100, WHOLE, 5_000));
+    cell.run(6_000);
+    assertThat(cell.named("gang")).hasSize(250);
+    cell.end("other");
+    assertThat(cell.runUntilStarted("gang", 100, 700)).isTrue();
+  }
+
+  // Guards against learning that goes on for ever or keeps a call that can help from an instance.
+  @Test
+  void learningAsksOnceAboutEachRunnerAndOnTwoInstancesAtMost() {
+    AdviceSimulation cell = new AdviceSimulation(250, 6, LARGE, AdviceSimulation.allowPart(0.5, 1));
+    cell.submit("other", AdviceSimulation.PLAIN, Steps.of(240, WHOLE, 20_000));
+    cell.run(100);
+    for (int i = 0; i < 3; i++) {
+      cell.submit("gang-" + i, AdviceSimulation.ADVISED, Steps.gang(100, WHOLE, 5_000));
+    }
+    cell.run(100);
+    assertThat(cell.asked).hasSizeLessThanOrEqualTo(2);
+    cell.submit("task", AdviceSimulation.ADVISED, Steps.of(1, WHOLE, 1_000));
+    assertThat(cell.runUntilStarted("task", 1, 500)).isTrue();
+    cell.run(20_000);
+    assertThat(
+            cell.asked.stream()
+                .filter(a -> a.step().workflow().startsWith("gang"))
+                .mapToInt(a -> a.runners().size())
+                .sum())
+        .isLessThanOrEqualTo(3 * 250);
+  }
 }
