Close workflows that failed while their queue was missing

What callers saw: a task that starts once more after it has failed as often as its queue allows (BUDGET).

Cause: the number of failures that closes a workflow is read from its queue when a run ends. If the queue was missing from the configuration at that time, nothing closed it, and the task started again when the queue came back.

Change: steps that wait are checked when a configuration comes into force. One of the same version changes nothing, so the steps are no longer put in order again at each change of a runner's entry.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Runs.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Runs.java
@@ -182,9 +182,7 @@
     if (w.state.isFinal()) {
       return;
     }
-    int failures = s.spec.gang() ? s.gangFailures : t.failures;
-    Queue q = cell.queueOf(s);
-    if (!s.spec.lasting() && q != null && failures >= q.maxFailures()) {
+    if (hasFailed(t)) {
       close(w, WorkflowState.FAILED);
     } else if (s.isDone()) {
       cell.ready.remove(s);
@@ -192,6 +190,22 @@
     }
   }
 
+  /** Returns whether a task may not be tried again; false while its queue is not configured. */
+  private boolean hasFailed(Task t) {
+    Step s = t.step;
+    int failures = s.spec.gang() ? s.gangFailures : t.failures;
+    Queue q = cell.queueOf(s);
+    return !s.spec.lasting() && q != null && failures >= q.maxFailures();
+  }
+
+  /** Closes the workflow of a step that failed too often while its queue was not configured. */
+  void closeIfFailed(Step s) {
+    boolean failed = s.tasks.stream().anyMatch(t -> !t.done && hasFailed(t));
+    if (failed && !s.workflow.state.isFinal()) {
+      close(s.workflow, WorkflowState.FAILED);
+    }
+  }
+
   /** Lets a gang start anew once no member of its last run is left. */
   void gangChanged(Step s) {
     if (s.hasRuns()) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -177,10 +177,14 @@
       cell.policySeen = policy.version();
       cell.record(new PolicySeen(policy.version()));
     }
+    if (policy.version() == cell.policy.version()) {
+      return true;
+    }
     cell.policy = policy;
     List<Step> steps = new ArrayList<>(cell.ready);
     cell.ready.clear();
     steps.forEach(cell::enqueue);
+    steps.forEach(runs::closeIfFailed);
     return true;
   }
 
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowReplayTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowReplayTest.java
@@ -3,9 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import dev.dandelionport.core.common.ResourceVector;
 import dev.dandelionport.core.workflow.WorkflowEffect.Start;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
@@ -80,4 +82,33 @@
     assertThatThrownBy(() -> WorkflowCodec.decode(new byte[] {(byte) 0xc1}))
         .isInstanceOf(IllegalArgumentException.class);
   }
+
+  // A task that failed for the last time while its queue was missing from the configuration was
+  // started once more when the queue came back, by the same owner and by a new one.
+  @Test
+  void taskThatFailedTooOftenWithoutItsQueueIsNotStartedWhenItComesBack() {
+    WorkflowFixture f = new WorkflowFixture();
+    f.submit("w", "batch", WorkflowFixture.step(1, 100));
+    for (int i = 0; i < 3; i++) {
+      Start s = f.started(StartResult.PRESENT).get(0);
+      if (i == 2) {
+        f.scheduler.setPolicy(new ClusterPolicy(2, Map.of(), Map.of(), Map.of()));
+      }
+      f.end(s, RunEnd.FAILED, "");
+      f.now += 3_000;
+      f.place();
+    }
+    WorkflowScheduler next = rebuilt(f.journal);
+    next.setPolicy(WorkflowFixture.policy(3, ResourceVector.ZERO));
+    assertThat(next.state("w")).isPresent();
+    assertThat(next.takeDecision().records()).anyMatch(WorkflowReplayTest::isFailure);
+    f.scheduler.setPolicy(WorkflowFixture.policy(3, ResourceVector.ZERO));
+    f.place();
+    assertThat(f.starts()).isEmpty();
+    assertThat(f.journal).anyMatch(WorkflowReplayTest::isFailure);
+  }
+
+  private static boolean isFailure(WorkflowRecord r) {
+    return r instanceof WorkflowRecord.Closed c && c.state() == WorkflowState.FAILED;
+  }
 }
