Test the dispatcher under random faults of the whole platform

What callers saw: faults of the incident that no test found. The random test of WorkflowInstanceTest has no advice, priorities, checkpoints, gangs beyond 3 tasks, failing or hanging runs, drains, lapsing entries, new configurations, cancellations or loss of all instances; every fault of the incident lay there.

Change: PlatformFaultsTest has all of these in virtual time. A second test has planned changes only, and checks the bounds of drains, closed failure domains, unlisted runners and cancellations as well.

--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformCluster.java
@@ -0,0 +1,293 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
+import dev.dandelionport.core.message.WorkflowCallKind;
+import dev.dandelionport.core.message.WorkflowStatus;
+import dev.dandelionport.core.port.AdviceClient;
+import dev.dandelionport.core.port.SharedStore.Entry;
+import dev.dandelionport.core.port.WorkerException;
+import dev.dandelionport.core.testing.VirtualTime;
+import dev.dandelionport.core.workflow.ClusterPolicy;
+import dev.dandelionport.core.workflow.ClusterPolicy.Account;
+import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
+import dev.dandelionport.core.workflow.Recurrence;
+import dev.dandelionport.core.workflow.RunnerDescription;
+import dev.dandelionport.core.workflow.StartOrder;
+import dev.dandelionport.core.workflow.StepKey;
+import dev.dandelionport.core.workflow.StepSpec;
+import dev.dandelionport.core.workflow.WorkflowCodec;
+import dev.dandelionport.core.workflow.WorkflowSpec;
+import dev.dandelionport.core.workflow.WorkflowState;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/**
+ * Instances on a whole platform in virtual time: queues of three priorities, one of them with
+ * advice, accounts with ceilings, runners in four failure domains.
+ */
+final class PlatformCluster {
+
+  static final int RUNNERS = 8;
+  static final int DOMAINS = 4;
+  static final int MAX_FAILURES = 3;
+  static final int INSTANCES = 4;
+  static final String URGENT = "urgent";
+  static final String ADVISED = "advised";
+  static final String BATCH = "batch";
+
+  /** Ceiling of account b; account a has none. */
+  static final ResourceVector CEILING = new ResourceVector(0, 0, 24_000, 0, 0);
+
+  private static final double DECIDE_MILLIS = 20;
+  private static final double PER_RUNNER_MILLIS = 2;
+  private static final long VALID_MILLIS = 2_500;
+  private static final int ALLOWED_PERCENT = 60;
+  private static final long SLOW_ADVICE_MILLIS = 900;
+
+  final VirtualTime time;
+  final FakeSharedStore store;
+  final PlatformRules rules = new PlatformRules();
+  final PlatformRunners runners;
+  final WorkflowCluster cluster;
+  final List<String> trace = new ArrayList<>();
+  private final long seed;
+  private final Map<Long, ClusterPolicy> policies = new HashMap<>();
+  private final Map<String, Long> adviceBusyUntil = new HashMap<>();
+  private long version;
+  double adviceFails;
+  boolean adviceSlow;
+
+  PlatformCluster(long seed) {
+    this.seed = seed;
+    time = new VirtualTime(seed);
+    store = new FakeSharedStore(time);
+    runners = new PlatformRunners(time, rules, seed, RUNNERS, this::isTicketValid);
+    configure(true, CEILING);
+    for (int i = 0; i < RUNNERS; i++) {
+      list("r" + i, "ready");
+    }
+    WorkflowCluster.Parts parts =
+        new WorkflowCluster.Parts(
+            (n, p) -> new PlatformRunnerCalls(runners, n, p),
+            this::advice,
+            new PlatformDirectory(),
+            r -> trace.add(time.nowMillis() + " " + r.node() + " " + r.topic() + " " + r.fields()));
+    cluster = new WorkflowCluster(time, store, parts, INSTANCES);
+  }
+
+  /** Writes an entry of a runner; a state that is not known makes it unreadable. */
+  void list(String runner, String state) {
+    store.put("runners/" + runner, state);
+    if (state.equals("ready")) {
+      rules.wanted(runner);
+    } else {
+      rules.unwanted(runner, time.nowMillis());
+    }
+  }
+
+  void unlist(String runner) {
+    store.remove("runners/" + runner);
+    rules.unwanted(runner, time.nowMillis());
+  }
+
+  /** Takes a failure domain out of service. */
+  void close(String key) {
+    store.put(key, "");
+    rules.unwanted(key.substring(key.lastIndexOf('/') + 1), time.nowMillis());
+  }
+
+  /** Takes a failure domain back. */
+  void open(String key) {
+    store.remove(key);
+    rules.wanted(key.substring(key.lastIndexOf('/') + 1));
+  }
+
+  static String domain(String runner) {
+    return "fd" + Integer.parseInt(runner.substring(1)) % DOMAINS;
+  }
+
+  /** Puts another version of the configuration in force. */
+  void configure(boolean withBatch, ResourceVector ceiling) {
+    version += 1 + time.random().nextInt(3);
+    Map<String, Queue> queues = new HashMap<>();
+    ClusterPolicy.Advice advice =
+        new ClusterPolicy.Advice(DECIDE_MILLIS, PER_RUNNER_MILLIS, VALID_MILLIS);
+    queues.put(URGENT, queue(URGENT, 0, Optional.empty()));
+    queues.put(ADVISED, queue(ADVISED, 1, Optional.of(advice)));
+    if (withBatch) {
+      queues.put(BATCH, queue(BATCH, 2, Optional.empty()));
+    }
+    Map<String, Account> accounts =
+        Map.of(
+            "a", new Account("a", List.of("key-a"), 5, ResourceVector.ZERO),
+            "b", new Account("b", List.of("key-b"), 5, ceiling));
+    policies.put(version, new ClusterPolicy(version, queues, Map.of(), accounts));
+    rules.ceilings.put("a", ResourceVector.ZERO);
+    // A former configuration may be in force for a while, so the highest ceiling counts.
+    rules.ceilings.merge("b", ceiling, ResourceVector::max);
+    store.put("op/config", Long.toString(version));
+  }
+
+  private static Queue queue(String name, int priority, Optional<ClusterPolicy.Advice> advice) {
+    return new Queue(
+        name, "h", "/" + name + "/", 3_000, 500, priority, "svc", MAX_FAILURES, 2, advice, false);
+  }
+
+  /** Decodes entries that consist of a state, and configurations that consist of a version. */
+  private final class PlatformDirectory implements Directory {
+    @Override
+    public String runnerPrefix() {
+      return "runners/";
+    }
+
+    @Override
+    public String operatorPrefix() {
+      return "op/";
+    }
+
+    @Override
+    public Optional<RunnerDescription> runner(Entry e) {
+      String state = new String(e.value(), StandardCharsets.UTF_8);
+      if (!state.equals("ready") && !state.equals("draining")) {
+        return Optional.empty();
+      }
+      String id = e.key().substring("runners/".length());
+      return Optional.of(
+          new RunnerDescription(
+              id,
+              0,
+              "svc",
+              id,
+              domain(id),
+              PlatformRunners.ROOM,
+              List.of("rack-" + domain(id)),
+              state.equals("draining")));
+    }
+
+    @Override
+    public Optional<ClusterPolicy> policy(Entry e) {
+      if (!e.key().equals("op/config")) {
+        return Optional.empty();
+      }
+      String value = new String(e.value(), StandardCharsets.UTF_8);
+      return Optional.of(policies.get(Long.parseLong(value)));
+    }
+
+    @Override
+    public Optional<String> closedDomain(Entry e) {
+      String prefix = "op/closed/";
+      return e.key().startsWith(prefix)
+          ? Optional.of(e.key().substring(prefix.length()))
+          : Optional.empty();
+    }
+  }
+
+  /** Returns whether a step may run on a runner; the answer never changes. */
+  private boolean isAllowed(StepKey step, String runner) {
+    long n = 31 * (31 * seed + step.hashCode()) + runner.hashCode();
+    return new Random(n * 0x9E3779B97F4A7C15L).nextInt(100) < ALLOWED_PERCENT;
+  }
+
+  /** Returns the number of runners that may run a step. */
+  int allowed(StepKey step) {
+    int n = 0;
+    for (int i = 0; i < RUNNERS; i++) {
+      n += isAllowed(step, "r" + i) ? 1 : 0;
+    }
+    return n;
+  }
+
+  private AdviceClient advice(String caller, Consumer<Runnable> process) {
+    return (step, ids, timeout) -> {
+      CompletableFuture<AdviceClient.Advice> f = new CompletableFuture<>();
+      time.afterMillis(
+          timeout,
+          () -> process.accept(() -> f.completeExceptionally(new WorkerException("no", null))));
+      if (adviceFails > 0 && time.random().nextDouble() < adviceFails) {
+        return f;
+      }
+      // The service takes one call at a time from each machine.
+      long begins = Math.max(time.nowMillis(), adviceBusyUntil.getOrDefault(caller, 0L));
+      long needs = (long) (DECIDE_MILLIS + ids.size() * PER_RUNNER_MILLIS);
+      long ends = begins + needs + (adviceSlow ? SLOW_ADVICE_MILLIS : 0);
+      adviceBusyUntil.put(caller, ends);
+      time.afterMillis(
+          ends - time.nowMillis(),
+          () -> {
+            AdviceClient.Advice a = new AdviceClient.Advice(tickets(step, ids), VALID_MILLIS);
+            process.accept(() -> f.complete(a));
+          });
+      return f;
+    };
+  }
+
+  private Map<String, String> tickets(StepKey step, List<String> ids) {
+    Map<String, String> tickets = new HashMap<>();
+    long until = time.nowMillis() + VALID_MILLIS;
+    for (String id : ids) {
+      if (isAllowed(step, id) && runners.born(id) > 0) {
+        tickets.put(id, step + "|" + id + "|" + runners.born(id) + "|" + until);
+      }
+    }
+    return tickets;
+  }
+
+  private boolean isTicketValid(String runner, StartOrder o) {
+    if (!rules.workflows.get(o.task().workflow()).queue.equals(ADVISED)) {
+      return true;
+    }
+    StepKey step = new StepKey(o.task().workflow(), o.task().occurrence(), o.task().step());
+    String[] t = o.ticket().split("\\|");
+    return t.length == 4
+        && t[0].equals(step.toString())
+        && t[1].equals(runner)
+        && t[2].equals(Long.toString(runners.born(runner)))
+        && time.nowMillis() < Long.parseLong(t[3]);
+  }
+
+  /** Submits a workflow through an instance; its answer tells whether it was accepted. */
+  CompletableFuture<WorkflowAnswer> submit(
+      WorkflowCluster.Node at, String id, String queue, String account, List<StepSpec> steps) {
+    PlatformRules.Submitted w = new PlatformRules.Submitted(queue, account, steps);
+    rules.workflows.put(id, w);
+    WorkflowSpec spec = new WorkflowSpec("", "", "", "p", steps, Recurrence.ONCE, false);
+    CompletableFuture<WorkflowAnswer> f =
+        call(at, WorkflowCallKind.SUBMIT, id, WorkflowCodec.encodeSpec(spec));
+    f.thenAccept(a -> w.accepted |= a.status() == WorkflowStatus.OK);
+    return f;
+  }
+
+  void cancel(WorkflowCluster.Node at, String id) {
+    PlatformRules.Submitted w = rules.workflows.get(id);
+    w.cancelSent = true;
+    call(at, WorkflowCallKind.CANCEL, id, new byte[0])
+        .thenAccept(
+            a -> {
+              if (a.status() == WorkflowStatus.OK) {
+                w.cancelledMillis = time.nowMillis();
+              }
+            });
+  }
+
+  private CompletableFuture<WorkflowAnswer> call(
+      WorkflowCluster.Node at, WorkflowCallKind kind, String id, byte[] body) {
+    PlatformRules.Submitted w = rules.workflows.get(id);
+    return cluster.call(at, kind, "/" + w.queue + "/" + id, "key-" + w.account, body);
+  }
+
+  /** Returns what callers see of a workflow; empty if it is not known or nobody answers. */
+  Optional<WorkflowState> state(String id) {
+    CompletableFuture<WorkflowAnswer> f =
+        call(cluster.any(), WorkflowCallKind.READ, id, new byte[0]);
+    time.runUntil(f::isDone, 5_000);
+    return f.isDone() ? Optional.ofNullable(f.join().state()) : Optional.empty();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRules.java
@@ -0,0 +1,209 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.workflow.StepSpec;
+import dev.dandelionport.core.workflow.TaskKey;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What clients and runners have seen of workflows, and the promises that a start must not break.
+ * Collects what is broken instead of failing at once.
+ */
+final class PlatformRules {
+
+  /**
+   * Time from an acknowledged cancellation, or from a change of the store that takes a runner out
+   * of service, from which no task may start, in milliseconds.
+   */
+  private static final long KNOWN_MILLIS = 2_000;
+
+  /** Time after the end of all faults from which rules with a time bound hold. */
+  private static final long CONTACT_MILLIS = 8_000;
+
+  /** A workflow as a client submitted it; times are virtual milliseconds, 0 for never. */
+  static final class Submitted {
+    final String queue;
+    final String account;
+    final List<StepSpec> steps;
+    boolean accepted;
+    boolean cancelSent;
+    long cancelledMillis;
+
+    Submitted(String queue, String account, List<StepSpec> steps) {
+      this.queue = queue;
+      this.account = account;
+      this.steps = steps;
+    }
+  }
+
+  /** A start that a runner is about to carry out. */
+  record Start(TaskKey task, int run, String runner, String checkpoint, boolean late) {}
+
+  final Map<String, Submitted> workflows = new HashMap<>();
+  final List<String> broken = new ArrayList<>();
+  final Map<String, ResourceVector> ceilings = new HashMap<>();
+  private final Set<TaskKey> done = new HashSet<>();
+  private final Set<TaskKey> acknowledged = new HashSet<>();
+  private final Map<TaskKey, Set<Integer>> failed = new HashMap<>();
+  private final Map<TaskKey, Set<Integer>> failedAcknowledged = new HashMap<>();
+  private final Map<TaskKey, Set<String>> saved = new HashMap<>();
+
+  /** Runners and failure domains that may get no work, and since when. */
+  private final Map<String, Long> unwanted = new HashMap<>();
+
+  /** When the latest fault ended that may delay what an instance learns. */
+  long faultMillis;
+
+  StepSpec step(TaskKey t) {
+    return workflows.get(t.workflow()).steps.get(t.step());
+  }
+
+  /** Returns the key under which failures and checkpoints count: a gang has one for all. */
+  private TaskKey counted(TaskKey t) {
+    return step(t).gang() ? new TaskKey(t.workflow(), t.occurrence(), t.step(), 0) : t;
+  }
+
+  void unwanted(String name, long now) {
+    unwanted.putIfAbsent(name, now);
+  }
+
+  void wanted(String name) {
+    unwanted.remove(name);
+  }
+
+  void saved(TaskKey t, String value) {
+    saved.computeIfAbsent(counted(t), k -> new HashSet<>()).add(value);
+  }
+
+  void done(TaskKey t) {
+    done.add(t);
+    if (step(t).gang()) {
+      for (int i = 0; i < step(t).tasks(); i++) {
+        done.add(new TaskKey(t.workflow(), t.occurrence(), t.step(), i));
+      }
+    }
+  }
+
+  void failed(TaskKey t, int run) {
+    failed.computeIfAbsent(counted(t), k -> new HashSet<>()).add(run);
+  }
+
+  void acknowledgedDone(TaskKey t) {
+    acknowledged.add(t);
+  }
+
+  void acknowledgedFailed(TaskKey t, int run) {
+    failedAcknowledged.computeIfAbsent(counted(t), k -> new HashSet<>()).add(run);
+  }
+
+  int failures(TaskKey t) {
+    return failed.getOrDefault(counted(t), Set.of()).size();
+  }
+
+  /** Returns whether a task, or a gang, has failed as often as its queue allows. */
+  boolean mayFail(String workflow) {
+    return failed.entrySet().stream()
+        .anyMatch(
+            e ->
+                e.getKey().workflow().equals(workflow)
+                    && e.getValue().size() >= PlatformCluster.MAX_FAILURES);
+  }
+
+  /** Returns whether all tasks of a workflow have ended as done. */
+  boolean isDone(String workflow) {
+    List<StepSpec> steps = workflows.get(workflow).steps;
+    for (int s = 0; s < steps.size(); s++) {
+      if (!isStepDone(workflow, s)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns queue, account and steps of a workflow, for a report. */
+  String describe(String workflow) {
+    Submitted w = workflows.get(workflow);
+    return w.queue + " " + w.account + " " + w.steps;
+  }
+
+  private boolean isStepDone(String workflow, int step) {
+    for (int i = 0; i < workflows.get(workflow).steps.get(step).tasks(); i++) {
+      if (!done.contains(new TaskKey(workflow, 0, step, i))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Checks a start against what runs now: tasks by runner that is up. */
+  void check(Start s, long now, Map<String, Set<TaskKey>> running, ResourceVector room) {
+    String what = now + " " + s.task() + " run " + s.run() + " on " + s.runner() + ": ";
+    Submitted w = workflows.get(s.task().workflow());
+    if (w == null) {
+      broken.add(what + "nobody submitted it");
+      return;
+    }
+    final StepSpec spec = step(s.task());
+    if (running.values().stream().anyMatch(r -> r.contains(s.task()))) {
+      broken.add(what + "runs elsewhere too");
+    }
+    if (acknowledged.contains(s.task())) {
+      broken.add(what + "its end as done was acknowledged");
+    }
+    if (failedAcknowledged.getOrDefault(counted(s.task()), Set.of()).size()
+        >= PlatformCluster.MAX_FAILURES) {
+      broken.add(what + "it has failed too often");
+    }
+    for (int before : spec.after()) {
+      if (!isStepDone(s.task().workflow(), before)) {
+        broken.add(what + "step " + before + " is not done");
+      }
+    }
+    ResourceVector here = spec.size();
+    int same = 1;
+    for (TaskKey t : running.get(s.runner())) {
+      here = here.plus(step(t).size());
+      same += t.workflow().equals(s.task().workflow()) && t.step() == s.task().step() ? 1 : 0;
+    }
+    if (!here.fitsIn(room)) {
+      broken.add(what + "no room");
+    }
+    if (spec.maxPerRunner() > 0 && same > spec.maxPerRunner()) {
+      broken.add(what + "too many of the step on the runner");
+    }
+    if (!s.checkpoint().isEmpty()
+        && !saved.getOrDefault(counted(s.task()), Set.of()).contains(s.checkpoint())) {
+      broken.add(what + "checkpoint of another task");
+    }
+    checkCeiling(what, w, spec, running);
+    boolean calm = !s.late() && now - faultMillis > CONTACT_MILLIS;
+    if (calm && w.cancelledMillis > 0 && now - w.cancelledMillis > KNOWN_MILLIS) {
+      broken.add(what + "it was cancelled");
+    }
+    for (String name : List.of(s.runner(), PlatformCluster.domain(s.runner()))) {
+      if (calm && unwanted.containsKey(name) && now - unwanted.get(name) > KNOWN_MILLIS) {
+        broken.add(what + name + " is out of service since " + unwanted.get(name));
+      }
+    }
+  }
+
+  private void checkCeiling(
+      String what, Submitted w, StepSpec spec, Map<String, Set<TaskKey>> running) {
+    ResourceVector ceiling = ceilings.get(w.account);
+    long used = spec.size().milliCores();
+    for (Set<TaskKey> r : running.values()) {
+      for (TaskKey t : r) {
+        boolean mine = workflows.get(t.workflow()).account.equals(w.account);
+        used += mine ? step(t).size().milliCores() : 0;
+      }
+    }
+    if (ceiling.milliCores() > 0 && used > ceiling.milliCores() + spec.size().milliCores()) {
+      broken.add(what + "account " + w.account + " is above its ceiling");
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunnerCalls.java
@@ -0,0 +1,129 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.dispatch.PlatformRunners.Life;
+import dev.dandelionport.core.port.RunnerClient;
+import dev.dandelionport.core.port.WorkerException;
+import dev.dandelionport.core.testing.VirtualTime;
+import dev.dandelionport.core.workflow.RunnerReport;
+import dev.dandelionport.core.workflow.StartOrder;
+import dev.dandelionport.core.workflow.StartResult;
+import dev.dandelionport.core.workflow.TaskKey;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** The way from one instance to {@link PlatformRunners}: delays, lost and late orders, cuts. */
+final class PlatformRunnerCalls implements RunnerClient {
+
+  private final PlatformRunners runners;
+  private final VirtualTime time;
+  private final String caller;
+  private final Consumer<Runnable> process;
+
+  /** Creates the calls of an instance; {@code process} runs what they complete. */
+  PlatformRunnerCalls(PlatformRunners runners, String caller, Consumer<Runnable> process) {
+    this.runners = runners;
+    this.time = runners.time;
+    this.caller = caller;
+    this.process = process;
+  }
+
+  private boolean isAway(String id) {
+    return runners.cut.contains(id)
+        || runners.cut.contains(caller + ">" + id)
+        || !runners.lives.containsKey(id);
+  }
+
+  private Runnable noAnswer(CompletableFuture<?> f) {
+    return () -> process.accept(() -> f.completeExceptionally(new WorkerException("no", null)));
+  }
+
+  private <T> CompletableFuture<T> call(String id, boolean late, long timeout, Supplier<T> action) {
+    CompletableFuture<T> f = new CompletableFuture<>();
+    time.afterMillis(timeout, noAnswer(f));
+    Life l = runners.lives.get(id);
+    if (isAway(id)) {
+      return f;
+    }
+    if (late) {
+      // What waits inside a runner ends with that life of it.
+      time.afterMillis(
+          2_000 + time.random().nextInt(5_000),
+          () -> {
+            if (runners.lives.get(id) == l) {
+              action.get();
+            }
+          });
+      return f;
+    }
+    time.afterNanos(
+        time.latencyNanos(3),
+        () -> {
+          if (!isAway(id)) {
+            T value = action.get();
+            time.afterNanos(time.latencyNanos(3), () -> process.accept(() -> f.complete(value)));
+          }
+        });
+    return f;
+  }
+
+  private boolean isLate() {
+    return runners.latePart > 0 && time.random().nextDouble() < runners.latePart;
+  }
+
+  @Override
+  public CompletableFuture<StartAnswer> start(
+      Address to, StartOrder order, long until, long token, long timeout) {
+    String id = to.runner();
+    boolean late = isLate();
+    return call(
+        id,
+        late,
+        timeout,
+        () -> {
+          StartResult r = runners.start(id, order, until, token, late);
+          return new StartAnswer(r, runners.lives.get(id).clock(time.nowMillis()));
+        });
+  }
+
+  @Override
+  public CompletableFuture<Boolean> stop(
+      Address to, TaskKey task, int run, long token, long timeout) {
+    String id = to.runner();
+    return call(id, isLate(), timeout, () -> runners.stop(id, task, run, token));
+  }
+
+  @Override
+  public CompletableFuture<HoldAnswer> hold(
+      Address to, long token, long acked, long until, long wait, long timeout) {
+    CompletableFuture<HoldAnswer> f = new CompletableFuture<>();
+    time.afterMillis(timeout, noAnswer(f));
+    String id = to.runner();
+    long deadline = time.nowMillis() + wait;
+    call(id, false, timeout, () -> runners.extend(id, token, acked, until))
+        .thenAccept(
+            fenced -> {
+              if (fenced) {
+                f.complete(new HoldAnswer(true, null));
+              } else {
+                look(id, deadline, f);
+              }
+            });
+    return f;
+  }
+
+  private void look(String id, long deadline, CompletableFuture<HoldAnswer> f) {
+    if (isAway(id)) {
+      return;
+    }
+    Life l = runners.lives.get(id);
+    runners.advance(l);
+    if (l.ends.isEmpty() && time.nowMillis() < deadline) {
+      time.afterMillis(PlatformRunners.POLL_MILLIS, () -> look(id, deadline, f));
+      return;
+    }
+    RunnerReport r = runners.list(l);
+    time.afterNanos(
+        time.latencyNanos(1), () -> process.accept(() -> f.complete(new HoldAnswer(false, r))));
+  }
+}
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -9,6 +9,7 @@
 import dev.dandelionport.core.port.AdviceClient;
 import dev.dandelionport.core.port.InstanceInfo;
 import dev.dandelionport.core.port.PeerException;
+import dev.dandelionport.core.port.RunnerClient;
 import dev.dandelionport.core.port.SharedStore.Entry;
 import dev.dandelionport.core.testing.FakeProcess;
 import dev.dandelionport.core.testing.VirtualTime;
@@ -24,6 +25,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /** Instances, store and runners in virtual time. */
@@ -34,6 +37,20 @@
   /** What a node reported. */
   record Report(String node, DispatchTopic topic, Map<String, Object> fields) {}
 
+  /**
+   * What instances use besides store and peers.
+   *
+   * @param runners runners as an instance of a name sees them
+   * @param advice advice service as an instance of a name sees it
+   * @param directory decodes runners and configuration
+   * @param observer receives what instances report
+   */
+  record Parts(
+      BiFunction<String, Consumer<Runnable>, RunnerClient> runners,
+      BiFunction<String, Consumer<Runnable>, AdviceClient> advice,
+      Directory directory,
+      Consumer<Report> observer) {}
+
   /** One process of an instance. */
   final class Node {
     final String name;
@@ -49,17 +66,16 @@
               new DispatchContext(
                   info,
                   store.as(name, process::run),
-                  runners.as(name, process::run),
-                  (step, ids, timeout) ->
-                      CompletableFuture.completedFuture(new AdviceClient.Advice(Map.of(), 1)),
+                  parts.runners().apply(name, process::run),
+                  parts.advice().apply(name, process::run),
                   (peer, m, timeout) -> request(this, peer, m, timeout),
-                  new PlainDirectory(),
+                  parts.directory(),
                   process,
                   process,
                   () ->
                       new DispatchSettings(
                           1_000, 5_000, 3_500, new WorkflowLimits(3_000, 200, 3, 2_000, 600_000)),
-                  (t, f) -> reports.add(new Report(name, t, f))));
+                  (t, f) -> parts.observer().accept(new Report(name, t, f))));
       instance.start();
     }
   }
@@ -105,6 +121,7 @@
     }
   }
 
+  private final Parts parts;
   final VirtualTime time;
   final FakeSharedStore store;
   final FakeRunners runners;
@@ -113,10 +130,29 @@
   final List<Report> reports = new ArrayList<>();
   private int lives;
 
+  /** Creates instances beside parts that the caller makes. */
+  WorkflowCluster(VirtualTime time, FakeSharedStore store, Parts parts, int count) {
+    this.time = time;
+    this.store = store;
+    this.runners = null;
+    this.parts = parts;
+    for (int i = 0; i < count; i++) {
+      start("n" + i);
+    }
+  }
+
   WorkflowCluster(long seed, int count) {
     time = new VirtualTime(seed);
     store = new FakeSharedStore(time);
     runners = new FakeRunners(time, RUNNERS);
+    parts =
+        new Parts(
+            runners::as,
+            (n, process) ->
+                (step, ids, timeout) ->
+                    CompletableFuture.completedFuture(new AdviceClient.Advice(Map.of(), 1)),
+            new PlainDirectory(),
+            reports::add);
     for (int i = 0; i < RUNNERS; i++) {
       store.put("runners/r" + i, "");
     }
@@ -180,17 +216,17 @@
             List.of(steps),
             dev.dandelionport.core.workflow.Recurrence.ONCE,
             false);
-    return call(at, WorkflowCallKind.SUBMIT, id, WorkflowCodec.encodeSpec(spec));
+    return call(at, WorkflowCallKind.SUBMIT, "/q/" + id, "", WorkflowCodec.encodeSpec(spec));
   }
 
   CompletableFuture<WorkflowAnswer> read(Node at, String id) {
-    return call(at, WorkflowCallKind.READ, id, new byte[0]);
+    return call(at, WorkflowCallKind.READ, "/q/" + id, "", new byte[0]);
   }
 
-  private CompletableFuture<WorkflowAnswer> call(
-      Node at, WorkflowCallKind kind, String id, byte[] body) {
+  CompletableFuture<WorkflowAnswer> call(
+      Node at, WorkflowCallKind kind, String path, String key, byte[] body) {
     long deadline = java.util.concurrent.TimeUnit.NANOSECONDS.toMillis(at.process.monotonicNanos());
-    return at.instance.call(new WorkflowCall(kind, "h", "/q/" + id, "", body), deadline + 3_000);
+    return at.instance.call(new WorkflowCall(kind, "h", path, key, body), deadline + 3_000);
   }
 
   Node any() {
--- a/core/src/test/java/dev/dandelionport/core/testing/Steps.java
+++ b/core/src/test/java/dev/dandelionport/core/testing/Steps.java
@@ -19,14 +19,29 @@
     return plain(tasks, size, estimateMillis, List.of(), true);
   }
 
+  /** Returns a step whose tasks save their progress. */
+  public static StepSpec saving(int tasks, ResourceVector size, long estimateMillis) {
+    return step(tasks, size, estimateMillis, List.of(), true, false);
+  }
+
   private static StepSpec plain(
       int tasks, ResourceVector size, long estimateMillis, List<Integer> after, boolean gang) {
+    return step(tasks, size, estimateMillis, after, false, gang);
+  }
+
+  private static StepSpec step(
+      int tasks,
+      ResourceVector size,
+      long estimateMillis,
+      List<Integer> after,
+      boolean checkpoints,
+      boolean gang) {
     return new StepSpec(
         tasks,
         size,
         estimateMillis,
         after,
-        false,
+        checkpoints,
         gang,
         false,
         "",
