Own the workflows on a clearly larger instance where one is there

Cause: whoever claims first owns the workflows for good. Nobody knew how large the others are.

Ruled out: a release of the key before the next owner claims, as in a planned stop. A large instance that the store turns away would then leave the workflows without an owner, and the instances would have to agree on who comes next. A fixed wait of small instances was ruled out as well: it delays every take-over in which no large one lives.

Change: members tell the owner their capacity with the calls that they make anyway, and the owner names the largest ones to clearly smaller members. The key decides as before: the claim demands the revision that the owner had, which is how an owner whose process ended is replaced today, so fencing and replay are unchanged.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/DispatchSettings.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchSettings.java
@@ -3,15 +3,20 @@
 import dev.dandelionport.core.workflow.WorkflowLimits;
 
 /**
- * Times that the deployment sets, in milliseconds.
+ * What the deployment sets: times in milliseconds, and what the machine can do.
  *
  * @param sessionMillis life of the owner's lease in the store
  * @param holdMillis time for which a hold lets everything on a runner run on
  * @param policyMillis longest time for which a configuration counts as current without the store
  * @param limits times that the scheduler needs
+ * @param ownerCapacity how much work the machine can do as the owner, in thousandths of a core
  */
 public record DispatchSettings(
-    long sessionMillis, long holdMillis, long policyMillis, WorkflowLimits limits) {
+    long sessionMillis,
+    long holdMillis,
+    long policyMillis,
+    WorkflowLimits limits,
+    long ownerCapacity) {
 
   /** Time after which an owner that cannot reach the store no longer extends leases. */
   public static final long HOLD_WITHOUT_STORE_MILLIS = 4_000;
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -3,6 +3,10 @@
 import dev.dandelionport.core.common.Failures;
 import dev.dandelionport.core.common.Shard;
 import dev.dandelionport.core.dispatch.OwnerRecord.Owner;
+import dev.dandelionport.core.message.PeerMessage;
+import dev.dandelionport.core.message.PeerMessage.ClaimAnswer;
+import dev.dandelionport.core.message.PeerMessage.ClaimCall;
+import dev.dandelionport.core.port.InstanceInfo;
 import dev.dandelionport.core.port.SharedStore;
 import dev.dandelionport.core.port.SharedStore.Condition;
 import dev.dandelionport.core.port.SharedStore.Entry;
@@ -22,11 +26,15 @@
   private static final long WATCH_MILLIS = 5_000;
   private static final long RETRY_MILLIS = 100;
 
+  /** Time that a larger instance has for its claim, in milliseconds; it is two calls. */
+  private static final long CLAIM_MILLIS = 150;
+
   /** Part of the session's life after which it is renewed. */
   private static final int RENEW_PARTS = 4;
 
   private final DispatchContext context;
   private final Shard shard;
+  private final MemberTable members;
   private final PrefixWatch watch;
   private final Consumer<Optional<Owner>> changed;
   private Optional<Owner> owner = Optional.empty();
@@ -35,9 +43,14 @@
   private long renewedMillis;
 
   /** Creates an election; {@code changed} is called with the lock held. */
-  OwnerElection(DispatchContext context, Shard shard, Consumer<Optional<Owner>> changed) {
+  OwnerElection(
+      DispatchContext context,
+      Shard shard,
+      MemberTable members,
+      Consumer<Optional<Owner>> changed) {
     this.context = context;
     this.shard = shard;
+    this.members = members;
     this.changed = changed;
     this.watch = new PrefixWatch(context, shard, StoreKeys.OWNER, WATCH_MILLIS, this::read);
   }
@@ -115,12 +128,70 @@
     }
   }
 
-  /** Claims the workflows if the owner's key still has a revision. */
+  /** Returns whether this instance could claim the workflows now. */
+  boolean mayClaim() {
+    return !stopped && isReadable();
+  }
+
+  /**
+   * Claims the workflows because another instance asks for it; returns whether it does, or owns
+   * them already.
+   */
+  boolean claimAsked(long revision) {
+    if (!mayClaim()) {
+      return false;
+    }
+    if (!claiming && !isOwn()) {
+      claiming = true;
+      commit(revision);
+    }
+    return true;
+  }
+
+  /**
+   * Claims the workflows if the owner's key still has a revision. A clearly larger instance that is
+   * there is asked to do it first, and has a short time for it.
+   */
   private void claim(long revision) {
     if (claiming || stopped || !watch.isListed()) {
       return;
     }
     claiming = true;
+    Optional<InstanceInfo> larger = members.larger();
+    if (larger.isEmpty()) {
+      commit(revision);
+      return;
+    }
+    InstanceInfo to = larger.get();
+    long patience = members.patienceMillis();
+    shard.afterwards(
+        () ->
+            context
+                .peers()
+                .request(to, new ClaimCall(revision), patience)
+                .whenComplete((m, e) -> shard.run(() -> asked(to, m, revision))));
+  }
+
+  private void asked(InstanceInfo larger, PeerMessage m, long revision) {
+    if (m instanceof ClaimAnswer a && a.claims()) {
+      context.later(shard, CLAIM_MILLIS, () -> claimAfter(revision));
+    } else {
+      members.unfit(larger);
+      claimAfter(revision);
+    }
+  }
+
+  /** Claims the workflows if no other instance did so in the meantime. */
+  private void claimAfter(long revision) {
+    long current = owner.map(Owner::revision).orElse(SharedStore.ABSENT);
+    if (stopped || current != revision && current != SharedStore.ABSENT) {
+      claiming = false;
+    } else {
+      commit(current);
+    }
+  }
+
+  private void commit(long revision) {
     shard.afterwards(
         () ->
             context
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -133,6 +133,11 @@
     }
   }
 
+  /** Returns whether the runner has answered this owner, and its latest call. */
+  boolean answers() {
+    return answered && failures == 0;
+  }
+
   private String id() {
     return address.runner();
   }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -7,12 +7,16 @@
 import dev.dandelionport.core.message.PeerMessage.Ack;
 import dev.dandelionport.core.message.PeerMessage.AdviceAnswer;
 import dev.dandelionport.core.message.PeerMessage.AdviceCall;
+import dev.dandelionport.core.message.PeerMessage.ClaimAnswer;
+import dev.dandelionport.core.message.PeerMessage.ClaimCall;
 import dev.dandelionport.core.message.PeerMessage.MemberAnswer;
 import dev.dandelionport.core.message.PeerMessage.MemberCall;
 import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
 import dev.dandelionport.core.message.PeerMessage.WorkflowCall;
 import dev.dandelionport.core.message.WorkflowStatus;
+import dev.dandelionport.core.port.InstanceInfo;
 import dev.dandelionport.core.port.PeerException;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
@@ -42,13 +46,23 @@
   /** Longest wait for the last records of an owner that stops, in milliseconds. */
   private static final long FLUSH_MILLIS = 800;
 
+  /**
+   * Least time between two offers to hand over, and before the first, in milliseconds. A take-over
+   * takes up to 0.6 s, so hand-overs take little of the time even where machines come and go.
+   */
+  private static final long OFFER_MILLIS = 5_000;
+
+  private static final long OFFER_TIMEOUT_MILLIS = 300;
+
   private final DispatchContext context;
   private final Shard shard;
+  private final MemberTable members;
   private final OwnerElection election;
   private final OwnerRouter router;
   private WorkflowOwner owner;
   private long ownRevision;
   private long contactMillis = Long.MIN_VALUE / 2;
+  private long offerMillis;
   private int endedBeats;
   private boolean stopping;
 
@@ -60,7 +74,8 @@
             e ->
                 context.report(
                     DispatchTopic.STORE_CALL_FAILED, "call", "outgoing", "error", "" + e));
-    this.election = new OwnerElection(context, shard, this::ownerChanged);
+    this.members = new MemberTable(context);
+    this.election = new OwnerElection(context, shard, members, this::ownerChanged);
     this.router = new OwnerRouter(context, this::callHere, this::peerOwner);
   }
 
@@ -87,6 +102,7 @@
 
   private void ownerChanged(Optional<Owner> now) {
     boolean own = election.isOwn();
+    members.ownerChanged();
     if (owner != null && (!own || now.get().revision() != ownRevision)) {
       owner.end();
       owner = null;
@@ -123,11 +139,34 @@
                     owner.renewed(sent);
                   }
                 }));
+    shard.run(this::offer);
     if (!shard.call(() -> stopping)) {
       context.timer().schedule(BEAT_MILLIS / 3, this::renew);
     }
   }
 
+  /**
+   * Asks a clearly larger instance to replace this one as the owner, when nothing else is under
+   * way. This one goes on until the key has changed, so that an instance which cannot write to the
+   * store leaves everything as it was.
+   */
+  private void offer() {
+    if (owner == null || !owner.isOpen()) {
+      offerMillis = context.nowMillis() + OFFER_MILLIS;
+    }
+    if (stopping || context.nowMillis() < offerMillis) {
+      return;
+    }
+    Optional<InstanceInfo> to = members.successor();
+    if (to.isEmpty() || !owner.isCalm()) {
+      return;
+    }
+    offerMillis = context.nowMillis() + OFFER_MILLIS;
+    ClaimCall call = new ClaimCall(ownRevision);
+    shard.afterwards(() -> context.peers().request(to.get(), call, OFFER_TIMEOUT_MILLIS));
+    context.report(DispatchTopic.OWNER_OFFERED, "to", to.get().id().value(), "token", ownRevision);
+  }
+
   private void beat() {
     Optional<Owner> to = shard.call(this::peerOwner);
     if (to.isEmpty()) {
@@ -142,10 +181,15 @@
         });
   }
 
+  private MemberCall self() {
+    return new MemberCall(
+        context.self(), context.settings().ownerCapacity(), !stopping && election.mayClaim());
+  }
+
   private void tell(Owner to, Runnable then) {
     context
         .peers()
-        .request(to.info(), new MemberCall(context.self()), BEAT_TIMEOUT_MILLIS)
+        .request(to.info(), shard.call(this::self), BEAT_TIMEOUT_MILLIS)
         .whenComplete(
             (m, e) -> {
               shard.run(() -> beaten(to, m, e));
@@ -158,9 +202,11 @@
       endedBeats = 0;
       if (m instanceof MemberAnswer a && a.owner() && a.serves()) {
         contactMillis = context.nowMillis();
+        members.told(a.larger());
       }
       return;
     }
+    askLarger();
     if (context.nowMillis() - contactMillis > SILENT_MILLIS) {
       election.verify();
     }
@@ -172,6 +218,36 @@
     }
   }
 
+  /**
+   * Asks the larger instance that should replace a silent owner whether it is there, so that a
+   * claim need not wait for one that is paused or cut off.
+   */
+  private void askLarger() {
+    members
+        .larger()
+        .filter(to -> !members.isAsking())
+        .ifPresent(
+            to -> {
+              members.asked();
+              MemberCall call = self();
+              long timeout = members.patienceMillis();
+              shard.afterwards(
+                  () ->
+                      context
+                          .peers()
+                          .request(to, call, timeout)
+                          .whenComplete((m, e) -> shard.run(() -> larger(to, e))));
+            });
+  }
+
+  private void larger(InstanceInfo to, Throwable e) {
+    if (e == null) {
+      members.answered();
+    } else {
+      members.unfit(to);
+    }
+  }
+
   private Optional<Owner> peerOwner() {
     return shard.call(() -> election.isOwn() ? Optional.<Owner>empty() : election.owner());
   }
@@ -200,11 +276,16 @@
       return CompletableFuture.completedFuture(
           shard.call(
               () -> {
-                if (owner != null) {
-                  owner.heard(c.member());
+                if (owner == null) {
+                  return new MemberAnswer(false, false, List.of());
                 }
-                return new MemberAnswer(owner != null, owner != null && owner.isOpen());
+                owner.heard(c.member());
+                members.heard(c);
+                return new MemberAnswer(true, owner.isOpen(), members.largerThan(c.capacity()));
               }));
+    } else if (m instanceof ClaimCall c) {
+      return CompletableFuture.completedFuture(
+          shard.call(() -> new ClaimAnswer(!stopping && election.claimAsked(c.revision()))));
     } else if (m instanceof AdviceCall c) {
       return context
           .advice()
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
@@ -122,6 +122,11 @@
     stopped = true;
   }
 
+  /** Returns whether the latest write got no answer. */
+  boolean isFailing() {
+    return failingSinceMillis > 0;
+  }
+
   boolean isIdle() {
     return inFlight.isEmpty() && records.isEmpty() && waiting.isEmpty();
   }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -48,6 +48,9 @@
   /** Calls among them that are answered at a time. */
   private static final int EARLY_SLICE = 20;
 
+  /** Age of the store's latest answer up to which it counts as answering, in milliseconds. */
+  private static final long CALM_MILLIS = 600;
+
   /** A call that came before the workflows were rebuilt. */
   private record Early(WorkflowCall call, CompletableFuture<WorkflowAnswer> answer) {}
 
@@ -344,6 +347,21 @@
     return open && !ended;
   }
 
+  /**
+   * Returns whether another instance may replace this one without harm to what is under way: the
+   * store answers, and no task waits for the leases on a silent runner, which the next owner would
+   * have to wait out from the start.
+   */
+  boolean isCalm() {
+    long now = context.nowMillis();
+    return isOpen()
+        && now - storeSeenMillis < CALM_MILLIS
+        && !journal.isFailing()
+        && early.isEmpty()
+        && (now > formerLapsedMillis
+            || scheduler.runnersWithRuns().stream().allMatch(r -> link(r).answers()));
+  }
+
   boolean isDrained() {
     return journal == null || journal.isIdle();
   }
--- a/core/src/main/java/dev/dandelionport/core/message/PeerMessage.java
+++ b/core/src/main/java/dev/dandelionport/core/message/PeerMessage.java
@@ -157,11 +157,43 @@
     }
   }
 
-  /** Tells the owner of the workflows which instance is there to help. */
-  record MemberCall(InstanceInfo member) implements PeerMessage {}
+  /**
+   * Tells the owner of the workflows which instance is there to help.
+   *
+   * @param member sender
+   * @param capacity how much work it can do as the owner, in thousandths of a core
+   * @param mayClaim whether it can read the owner's key and is not about to stop
+   */
+  record MemberCall(InstanceInfo member, long capacity, boolean mayClaim) implements PeerMessage {}
+
+  /**
+   * Answers a {@link MemberCall}.
+   *
+   * @param owner whether the receiver is the owner
+   * @param serves whether it serves as the owner
+   * @param larger the largest instances that may claim and are clearly larger than the sender of
+   *     the call, the largest first; empty if the receiver is not the owner
+   */
+  record MemberAnswer(
+      boolean owner,
+      boolean serves,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<MemberCall> larger)
+      implements PeerMessage {
+    /** Copies the list, which is left out of a frame when it is empty. */
+    public MemberAnswer {
+      larger = larger == null ? List.of() : List.copyOf(larger);
+    }
+  }
+
+  /**
+   * Asks an instance to claim the workflows.
+   *
+   * @param revision revision that the owner's key must still have; 0 if there must be none
+   */
+  record ClaimCall(long revision) implements PeerMessage {}
 
-  /** Answers a {@link MemberCall}: whether the receiver is the owner and serves. */
-  record MemberAnswer(boolean owner, boolean serves) implements PeerMessage {}
+  /** Answers a {@link ClaimCall}: whether the receiver claims, or is the owner already. */
+  record ClaimAnswer(boolean claims) implements PeerMessage {}
 
   /** Asks an instance to ask for advice on behalf of the owner. */
   record AdviceCall(StepKey step, List<String> runners, long timeoutMillis)
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -31,6 +31,9 @@
 
   private static final int RUNNERS = 6;
 
+  /** Capacity of an instance for which no other is named, in thousandths of a core. */
+  private static final long CAPACITY = 1_500;
+
   /** One process of an instance. */
   final class Node {
     final String name;
@@ -55,8 +58,12 @@
                   process,
                   () ->
                       new DispatchSettings(
-                          1_000, 5_000, 3_500, new WorkflowLimits(3_000, 200, 3, 2_000, 600_000)),
-                  (t, f) -> {}));
+                          1_000,
+                          5_000,
+                          3_500,
+                          new WorkflowLimits(3_000, 200, 3, 2_000, 600_000),
+                          capacity(name)),
+                  (t, f) -> seen(name, t)));
       instance.start();
     }
   }
@@ -107,9 +114,24 @@
   final FakeRunners runners;
   final Map<String, Node> nodes = new HashMap<>();
   final java.util.Set<String> cutPeers = new java.util.HashSet<>();
+  private final Map<String, Long> capacities;
+
+  /** Names of the instances that began to serve as the owner, in order. */
+  final List<String> served = new ArrayList<>();
+
+  /** Times at which an owner offered the workflows to a larger instance, in order. */
+  final List<Long> offersMillis = new ArrayList<>();
+
   private int lives;
 
+  /** Creates instances of the same capacity. */
   WorkflowCluster(long seed, int count) {
+    this(seed, count, Map.of());
+  }
+
+  /** Creates instances; {@code capacities} names those with another capacity than the usual. */
+  WorkflowCluster(long seed, int count, Map<String, Long> capacities) {
+    this.capacities = capacities;
     time = new VirtualTime(seed);
     store = new FakeSharedStore(time);
     runners = new FakeRunners(time, RUNNERS);
@@ -122,6 +144,10 @@
     }
   }
 
+  long capacity(String name) {
+    return capacities.getOrDefault(name, CAPACITY);
+  }
+
   void start(String name) {
     nodes.put(name, new Node(name, ++lives));
   }
@@ -134,6 +160,14 @@
     return nodes.values().stream().filter(n -> n.instance.isOwner()).findFirst();
   }
 
+  private void seen(String name, DispatchTopic topic) {
+    if (topic == DispatchTopic.OWNER_OPEN) {
+      served.add(name);
+    } else if (topic == DispatchTopic.OWNER_OFFERED) {
+      offersMillis.add(time.nowMillis());
+    }
+  }
+
   private CompletableFuture<PeerMessage> request(
       Node from, InstanceInfo peer, PeerMessage m, long timeout) {
     CompletableFuture<PeerMessage> f = new CompletableFuture<>();
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -187,7 +187,26 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void promisesHoldUnderRandomFaults(long seed) {
-    WorkflowCluster c = new WorkflowCluster(seed, 4);
+    promisesHold(new WorkflowCluster(seed, 4), seed);
+  }
+
+  // Guards against a hand-over to a larger instance that breaks a promise when faults come with it,
+  // and against hand-overs that follow one another.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void promisesHoldUnderRandomFaultsOnMachinesOfDifferentSize(long seed) {
+    WorkflowCluster c = new WorkflowCluster(seed, 4, Map.of("n1", 360L, "n2", 360L, "n3", 700L));
+    promisesHold(c, seed);
+    assertThat(c.owner()).matches(o -> o.orElseThrow().name.equals("n0"));
+    for (int i = 1; i < c.offersMillis.size(); i++) {
+      // An owner offers the workflows no sooner than 5 s after it opened, give or take a check.
+      assertThat(c.offersMillis.get(i) - c.offersMillis.get(i - 1)).isGreaterThanOrEqualTo(4_900);
+    }
+    // Without faults the owner moves to the largest instance at most once, and stays there.
+    assertThat(c.offersMillis).filteredOn(t -> t > c.time.nowMillis() - 50_000).isEmpty();
+  }
+
+  private static void promisesHold(WorkflowCluster c, long seed) {
     c.time.runFor(2_000);
     Random random = new Random(seed);
     Map<String, CompletableFuture<WorkflowAnswer>> answers = new HashMap<>();
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowJournalTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowJournalTest.java
@@ -41,7 +41,7 @@
         null,
         process,
         process,
-        () -> new DispatchSettings(1_000, 5_000, 3_500, new WorkflowLimits(1, 1, 1, 1, 1)),
+        () -> new DispatchSettings(1_000, 5_000, 3_500, new WorkflowLimits(1, 1, 1, 1, 1), 1_000),
         (t, f) -> {});
   }
 
--- a/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
+++ b/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
@@ -19,6 +19,7 @@
       case OWNER_OPEN -> LogEvent.WORKFLOWS_SERVED;
       case OWNER_LOST -> LogEvent.WORKFLOWS_LOST;
       case OWNER_SEEN -> LogEvent.WORKFLOW_OWNER;
+      case OWNER_OFFERED -> LogEvent.WORKFLOWS_OFFERED;
       case POLICY_IN_FORCE -> LogEvent.POLICY_IN_FORCE;
       case DOMAINS_CLOSED -> LogEvent.DOMAINS_CLOSED;
       case STORE_CALL_FAILED -> LogEvent.STORE_CALL_FAILED;
--- a/node/src/main/java/dev/dandelionport/node/process/LogEvent.java
+++ b/node/src/main/java/dev/dandelionport/node/process/LogEvent.java
@@ -33,6 +33,7 @@
   WORKFLOWS_SERVED(2015, Level.INFO, "instance owns and serves the workflows"),
   WORKFLOWS_LOST(2016, Level.WARN, "instance no longer owns the workflows"),
   WORKFLOW_OWNER(2017, Level.INFO, "owner of the workflows changed"),
+  WORKFLOWS_OFFERED(2018, Level.INFO, "owner asks a larger instance to take over"),
   MANIFEST_ADOPTED(3001, Level.INFO, "manifest came into force"),
   OPERATOR_CALL(3002, Level.INFO, "operator call was carried out"),
   OPERATOR_REFUSED(3003, Level.WARN, "operator call without a valid key was refused", 1_000),
--- /dev/null
+++ b/node/src/test/java/dev/dandelionport/node/connection/MemberMessagesTest.java
@@ -0,0 +1,45 @@
+package dev.dandelionport.node.connection;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.dandelionport.core.common.InstanceId;
+import dev.dandelionport.core.message.PeerMessage;
+import dev.dandelionport.core.message.PeerMessage.ClaimAnswer;
+import dev.dandelionport.core.message.PeerMessage.ClaimCall;
+import dev.dandelionport.core.message.PeerMessage.MemberAnswer;
+import dev.dandelionport.core.message.PeerMessage.MemberCall;
+import dev.dandelionport.core.port.InstanceInfo;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class MemberMessagesTest {
+
+  private static Stream<PeerMessage> messages() {
+    InstanceInfo info = new InstanceInfo(new InstanceId("i"), "r", "fd", "127.0.0.1", 1);
+    MemberCall call = new MemberCall(info, 1_500, true);
+    return Stream.of(
+        call,
+        new MemberAnswer(false, false, List.of()),
+        new MemberAnswer(true, true, List.of(call)),
+        new ClaimCall(7),
+        new ClaimAnswer(true));
+  }
+
+  // Guards against a list of instances, or an empty one, that does not survive the wire.
+  @ParameterizedTest
+  @MethodSource("messages")
+  void messagesAboutMembersSurviveTheWire(PeerMessage m) {
+    EmbeddedChannel out = new EmbeddedChannel(new FrameCodec());
+    out.writeOutbound(new Frame(1, Frame.Kind.CALL, m, null));
+    EmbeddedChannel in = new EmbeddedChannel(new FrameCodec());
+    for (ByteBuf b = out.readOutbound(); b != null; b = out.readOutbound()) {
+      in.writeInbound(b);
+    }
+    Frame f = in.readInbound();
+    assertThat(f.message()).isEqualTo(m);
+  }
+}
