--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -143,6 +143,11 @@
     return holding || looking;
   }
 
+  /** Returns whether the runner has answered this owner, and its latest call. */
+  boolean answers() {
+    return answered && failures == 0;
+  }
+
   private String id() {
     return address.runner();
   }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -34,6 +34,9 @@
 
   private static final int RUNNERS = 6;
 
+  /** Capacity of an instance for which no other is named, in thousandths of a core. */
+  private static final long CAPACITY = 1_500;
+
   /** What a node reported. */
   record Report(String node, DispatchTopic topic, Map<String, Object> fields) {}
 
@@ -74,8 +77,12 @@
                   process,
                   () ->
                       new DispatchSettings(
-                          1_000, 5_000, 3_500, new WorkflowLimits(3_000, 200, 3, 2_000, 600_000)),
-                  (t, f) -> parts.observer().accept(new Report(name, t, f))));
+                          1_000,
+                          5_000,
+                          3_500,
+                          new WorkflowLimits(3_000, 200, 3, 2_000, 600_000),
+                          capacity(name)),
+                  (t, f) -> seen(new Report(name, t, f))));
       instance.start();
     }
   }
@@ -128,6 +135,14 @@
   final Map<String, Node> nodes = new HashMap<>();
   final java.util.Set<String> cutPeers = new java.util.HashSet<>();
   final List<Report> reports = new ArrayList<>();
+  private final Map<String, Long> capacities;
+
+  /** Names of the instances that began to serve as the owner, in order. */
+  final List<String> served = new ArrayList<>();
+
+  /** Times at which an owner offered the workflows to a larger instance, in order. */
+  final List<Long> offersMillis = new ArrayList<>();
+
   private int lives;
 
   /** Creates instances beside parts that the caller makes. */
@@ -136,12 +151,20 @@
     this.store = store;
     this.runners = null;
     this.parts = parts;
+    this.capacities = Map.of();
     for (int i = 0; i < count; i++) {
       start("n" + i);
     }
   }
 
+  /** Creates instances of the same capacity. */
   WorkflowCluster(long seed, int count) {
+    this(seed, count, Map.of());
+  }
+
+  /** Creates instances; {@code capacities} names those with another capacity than the usual. */
+  WorkflowCluster(long seed, int count, Map<String, Long> capacities) {
+    this.capacities = capacities;
     time = new VirtualTime(seed);
     store = new FakeSharedStore(time);
     runners = new FakeRunners(time, RUNNERS);
@@ -162,6 +185,10 @@
     }
   }
 
+  long capacity(String name) {
+    return capacities.getOrDefault(name, CAPACITY);
+  }
+
   void start(String name) {
     nodes.put(name, new Node(name, ++lives));
   }
@@ -174,6 +201,15 @@
     return nodes.values().stream().filter(n -> n.instance.isOwner()).findFirst();
   }
 
+  private void seen(Report r) {
+    if (r.topic() == DispatchTopic.OWNER_OPEN) {
+      served.add(r.node());
+    } else if (r.topic() == DispatchTopic.OWNER_OFFERED) {
+      offersMillis.add(time.nowMillis());
+    }
+    parts.observer().accept(r);
+  }
+
   private CompletableFuture<PeerMessage> request(
       Node from, InstanceInfo peer, PeerMessage m, long timeout) {
     CompletableFuture<PeerMessage> f = new CompletableFuture<>();
