Let an instance without the store hear of a new owner

Class of fault: one source for a fact that peers know as well.

Ruled out: believing any owner that a peer names. The revision of the owner's key orders owners, so an older one is never taken over.

Change: the calls between instances carry the highest revision of the owner's key that the caller has seen; an answer names a newer owner. A copy of the store's keys that is older than what a claim or a peer told is not acted on.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/MemberTable.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/MemberTable.java
@@ -1,7 +1,10 @@
 package dev.dandelionport.core.dispatch;
 
-import dev.dandelionport.core.message.PeerMessage.MemberCall;
+import dev.dandelionport.core.message.PeerMessage.Member;
+import dev.dandelionport.core.message.PeerMessage.MemberAnswer;
 import dev.dandelionport.core.port.InstanceInfo;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -42,17 +45,26 @@
 
   private static final long NOT_ASKED = Long.MIN_VALUE;
 
-  private record Heard(MemberCall call, long sinceMillis, long lastMillis) {}
+  /** Most instances that one knows which it can ask for the owner. */
+  private static final int PEERS = 3;
+
+  /** Age from which the list of instances to ask is old, in milliseconds. */
+  private static final long PEERS_MILLIS = 5_000;
+
+  private record Heard(Member member, long sinceMillis, long lastMillis) {}
 
   private static final Comparator<Heard> LARGEST_FIRST =
-      Comparator.comparingLong((Heard h) -> h.call().capacity())
+      Comparator.comparingLong((Heard h) -> h.member().capacity())
           .reversed()
           .thenComparingLong(Heard::sinceMillis);
 
   private final DispatchContext context;
   private final Map<String, Heard> heard = new TreeMap<>();
-  private List<MemberCall> told = List.of();
+  private List<Member> told = List.of();
   private long toldMillis;
+  private List<InstanceInfo> peers = List.of();
+  private long peersMillis = Long.MIN_VALUE / 2;
+  private int nextPeer;
 
   /** When the larger instance was asked that has not answered yet; {@code NOT_ASKED}: none was. */
   private long askedMillis = NOT_ASKED;
@@ -62,23 +74,65 @@
   }
 
   /** Notes what an instance says of itself to the owner. */
-  void heard(MemberCall m) {
+  void heard(Member m) {
     long now = context.nowMillis();
     heard.merge(
-        m.member().id().value(),
+        m.info().id().value(),
         new Heard(m, now, now),
         (before, x) -> {
-          boolean gap = !before.call().mayClaim() || now - before.lastMillis() > HEARD_MILLIS;
+          boolean gap = !before.member().mayClaim() || now - before.lastMillis() > HEARD_MILLIS;
           return new Heard(m, gap ? now : before.sinceMillis(), now);
         });
+    if (wantsPeers()) {
+      knowPeers(peersFor(context.self()));
+    }
+  }
+
+  /** Returns whether the list of instances to ask is short or old. */
+  boolean wantsPeers() {
+    return peers.size() < PEERS || context.nowMillis() - peersMillis > PEERS_MILLIS;
+  }
+
+  /** Notes which instances the owner names. */
+  void told(MemberAnswer a) {
+    told(a.larger());
+    if (!a.peers().isEmpty()) {
+      knowPeers(a.peers());
+    }
   }
 
-  /** Notes which larger instances the owner names. */
-  void told(List<MemberCall> larger) {
+  private void told(List<Member> larger) {
     told = larger;
     toldMillis = context.nowMillis();
   }
 
+  private void knowPeers(List<InstanceInfo> list) {
+    peers = list;
+    peersMillis = context.nowMillis();
+  }
+
+  /** Returns instances that another one can ask for the owner when it cannot read the store. */
+  List<InstanceInfo> peersFor(InstanceInfo member) {
+    List<InstanceInfo> all = new ArrayList<>();
+    for (Heard h : heard.values()) {
+      if (h.member().mayClaim() && !h.member().info().equals(member)) {
+        all.add(h.member().info());
+      }
+    }
+    if (!all.isEmpty()) {
+      // Spreads the calls over all instances.
+      Collections.rotate(all, member.hashCode() % all.size());
+    }
+    return List.copyOf(all.subList(0, Math.min(PEERS, all.size())));
+  }
+
+  /** Returns the instance to ask for the owner next, one after the other. */
+  Optional<InstanceInfo> nextPeer() {
+    return peers.isEmpty()
+        ? Optional.empty()
+        : Optional.of(peers.get(Math.floorMod(nextPeer++, peers.size())));
+  }
+
   /** Returns whether the larger instance was asked whether it is there, and has not answered. */
   boolean isAsking() {
     return askedMillis != NOT_ASKED;
@@ -103,7 +157,7 @@
   /** Notes that an instance cannot claim the workflows now. */
   void unfit(InstanceInfo member) {
     askedMillis = NOT_ASKED;
-    told = told.stream().filter(m -> !m.member().equals(member)).toList();
+    told = told.stream().filter(m -> !m.info().equals(member)).toList();
   }
 
   /** Forgets what was heard as the owner, but for the instances that should claim first. */
@@ -118,15 +172,15 @@
    * Returns the largest instances that may claim and are clearly larger than one of {@code
    * capacity}, the largest first.
    */
-  List<MemberCall> largerThan(long capacity) {
-    return present(capacity).limit(NAMED).map(Heard::call).toList();
+  List<Member> largerThan(long capacity) {
+    return present(capacity).limit(NAMED).map(Heard::member).toList();
   }
 
   private Stream<Heard> present(long capacity) {
     long now = context.nowMillis();
     return heard.values().stream()
-        .filter(h -> h.call().mayClaim() && now - h.lastMillis() <= HEARD_MILLIS)
-        .filter(h -> h.call().capacity() >= LARGER * capacity)
+        .filter(h -> h.member().mayClaim() && now - h.lastMillis() <= HEARD_MILLIS)
+        .filter(h -> h.member().capacity() >= LARGER * capacity)
         .sorted(LARGEST_FIRST);
   }
 
@@ -141,12 +195,12 @@
     return present(context.settings().ownerCapacity())
         .findFirst()
         .filter(h -> now - h.sinceMillis() >= CONTACT_MILLIS)
-        .map(h -> h.call().member());
+        .map(h -> h.member().info());
   }
 
   /** Returns a clearly larger instance that should claim before this one, as the owner told. */
   Optional<InstanceInfo> larger() {
     boolean known = context.nowMillis() - toldMillis <= TOLD_MILLIS;
-    return told.stream().filter(m -> known).map(MemberCall::member).findFirst();
+    return told.stream().filter(m -> known).map(Member::info).findFirst();
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -6,6 +6,7 @@
 import dev.dandelionport.core.message.PeerMessage;
 import dev.dandelionport.core.message.PeerMessage.ClaimAnswer;
 import dev.dandelionport.core.message.PeerMessage.ClaimCall;
+import dev.dandelionport.core.message.PeerMessage.KnownOwner;
 import dev.dandelionport.core.port.InstanceInfo;
 import dev.dandelionport.core.port.SharedStore;
 import dev.dandelionport.core.port.SharedStore.Condition;
@@ -41,6 +42,10 @@
   private boolean claiming;
   private boolean stopped;
   private long renewedMillis;
+  private long keptMillis;
+
+  /** Highest revision of the owner's key that was seen. */
+  private long seenRevision;
 
   /** Creates an election; {@code changed} is called with the lock held. */
   OwnerElection(
@@ -82,7 +87,28 @@
     return watch.isListed() && !watch.isFailing();
   }
 
+  /** Returns the highest revision of the owner's key that was seen. */
+  long seenRevision() {
+    return seenRevision;
+  }
+
+  /** Takes over the owner that another instance has seen, unless a newer one was seen here. */
+  void learn(KnownOwner o) {
+    if (o.revision() > seenRevision) {
+      see(Optional.of(new Owner(o.info(), o.revision(), o.lease())));
+    }
+  }
+
+  /** Returns whether the own lease may have ended, because no renewal of it succeeded. */
+  boolean isOverdue() {
+    return isOwn() && context.nowMillis() - keptMillis > context.settings().sessionMillis();
+  }
+
   private void read() {
+    if (watch.revision() < seenRevision) {
+      // A claim or another instance told of a change that the watch has yet to see.
+      return;
+    }
     Optional<Entry> entry =
         watch.entries().stream().filter(e -> e.key().equals(StoreKeys.OWNER)).findFirst();
     see(entry.flatMap(this::decode));
@@ -106,6 +132,7 @@
     }
     if (!found.equals(owner)) {
       owner = found;
+      seenRevision = Math.max(seenRevision, found.map(Owner::revision).orElse(0L));
       changed.accept(owner);
     }
     if (found.isEmpty()) {
@@ -221,6 +248,7 @@
       claiming = false;
       final Optional<Owner> former = owner;
       renewedMillis = context.nowMillis();
+      keptMillis = renewedMillis;
       see(Optional.of(new Owner(context.self(), done.revision(), c.lease())));
       former
           .filter(f -> f.lease() != SharedStore.NO_LEASE && !f.info().equals(context.self()))
@@ -300,6 +328,7 @@
                                     "error",
                                     Failures.cause(e).toString());
                               } else if (ok) {
+                                keptMillis = Math.max(keptMillis, now);
                                 renewed.accept(now);
                               } else if (owner.equals(Optional.of(mine))) {
                                 lose(mine);
--- a/core/src/main/java/dev/dandelionport/core/dispatch/PrefixWatch.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/PrefixWatch.java
@@ -58,6 +58,11 @@
     stopped = true;
   }
 
+  /** Returns the revision of the store up to which the copy is complete. */
+  long revision() {
+    return revision;
+  }
+
   boolean isListed() {
     return listed;
   }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -9,6 +9,8 @@
 import dev.dandelionport.core.message.PeerMessage.AdviceCall;
 import dev.dandelionport.core.message.PeerMessage.ClaimAnswer;
 import dev.dandelionport.core.message.PeerMessage.ClaimCall;
+import dev.dandelionport.core.message.PeerMessage.KnownOwner;
+import dev.dandelionport.core.message.PeerMessage.Member;
 import dev.dandelionport.core.message.PeerMessage.MemberAnswer;
 import dev.dandelionport.core.message.PeerMessage.MemberCall;
 import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
@@ -63,6 +65,7 @@
   private long ownRevision;
   private long contactMillis = Long.MIN_VALUE / 2;
   private long offerMillis;
+  private long askedMillis = Long.MIN_VALUE / 2;
   private int endedBeats;
   private boolean stopping;
 
@@ -170,6 +173,12 @@
   private void beat() {
     Optional<Owner> to = shard.call(this::peerOwner);
     if (to.isEmpty()) {
+      shard.run(
+          () -> {
+            if (!election.isOwn() || election.isOverdue()) {
+              askPeer();
+            }
+          });
       context.timer().schedule(BEAT_MILLIS / 3, this::beat);
       return;
     }
@@ -182,8 +191,11 @@
   }
 
   private MemberCall self() {
+    boolean mayClaim = !stopping && election.mayClaim();
     return new MemberCall(
-        context.self(), context.settings().ownerCapacity(), !stopping && election.mayClaim());
+        new Member(context.self(), context.settings().ownerCapacity(), mayClaim),
+        election.seenRevision(),
+        members.wantsPeers());
   }
 
   private void tell(Owner to, Runnable then) {
@@ -200,13 +212,17 @@
   private void beaten(Owner to, PeerMessage m, Throwable e) {
     if (e == null) {
       endedBeats = 0;
-      if (m instanceof MemberAnswer a && a.owner() && a.serves()) {
-        contactMillis = context.nowMillis();
-        members.told(a.larger());
+      if (m instanceof MemberAnswer a) {
+        learn(a);
+        if (a.owner() && a.serves()) {
+          contactMillis = context.nowMillis();
+          members.told(a);
+        }
       }
       return;
     }
     askLarger();
+    askPeer();
     if (context.nowMillis() - contactMillis > SILENT_MILLIS) {
       election.verify();
     }
@@ -236,13 +252,40 @@
                       context
                           .peers()
                           .request(to, call, timeout)
-                          .whenComplete((m, e) -> shard.run(() -> larger(to, e))));
+                          .whenComplete((m, e) -> shard.run(() -> larger(to, m, e))));
             });
   }
 
-  private void larger(InstanceInfo to, Throwable e) {
+  /** Asks another instance for the owner, because the store may turn this one away. */
+  private void askPeer() {
+    long now = context.nowMillis();
+    if (now - askedMillis < BEAT_MILLIS) {
+      return;
+    }
+    askedMillis = now;
+    MemberCall call = self();
+    members
+        .nextPeer()
+        .ifPresent(
+            to ->
+                shard.afterwards(
+                    () ->
+                        context
+                            .peers()
+                            .request(to, call, BEAT_TIMEOUT_MILLIS)
+                            .thenAccept(m -> shard.run(() -> learn(m)))));
+  }
+
+  private void learn(PeerMessage m) {
+    if (m instanceof MemberAnswer a && a.known() != null) {
+      election.learn(a.known());
+    }
+  }
+
+  private void larger(InstanceInfo to, PeerMessage m, Throwable e) {
     if (e == null) {
       members.answered();
+      learn(m);
     } else {
       members.unfit(to);
     }
@@ -277,11 +320,16 @@
           shard.call(
               () -> {
                 if (owner == null) {
-                  return new MemberAnswer(false, false, List.of());
+                  return new MemberAnswer(false, false, known(c), List.of(), List.of());
                 }
-                owner.heard(c.member());
-                members.heard(c);
-                return new MemberAnswer(true, owner.isOpen(), members.largerThan(c.capacity()));
+                owner.heard(c.member().info());
+                members.heard(c.member());
+                return new MemberAnswer(
+                    true,
+                    owner.isOpen(),
+                    known(c),
+                    members.largerThan(c.member().capacity()),
+                    c.wantsPeers() ? members.peersFor(c.member().info()) : List.of());
               }));
     } else if (m instanceof ClaimCall c) {
       return CompletableFuture.completedFuture(
@@ -299,6 +347,15 @@
     return CompletableFuture.completedFuture(new Ack());
   }
 
+  /** Returns the owner that this instance knows, if the caller has not seen its key. */
+  private KnownOwner known(MemberCall c) {
+    return election
+        .owner()
+        .filter(o -> o.revision() > c.ownerRevision())
+        .map(o -> new KnownOwner(o.info(), o.revision(), o.lease()))
+        .orElse(null);
+  }
+
   /** Hands the workflows over; requests are still taken to the next owner afterwards. */
   public CompletableFuture<Void> handOver() {
     CompletableFuture<Void> done = new CompletableFuture<>();
--- a/core/src/main/java/dev/dandelionport/core/message/PeerMessage.java
+++ b/core/src/main/java/dev/dandelionport/core/message/PeerMessage.java
@@ -158,30 +158,54 @@
   }
 
   /**
-   * Tells the owner of the workflows which instance is there to help.
+   * An instance that could own the workflows.
    *
-   * @param member sender
+   * @param info the instance
    * @param capacity how much work it can do as the owner, in thousandths of a core
    * @param mayClaim whether it can read the owner's key and is not about to stop
    */
-  record MemberCall(InstanceInfo member, long capacity, boolean mayClaim) implements PeerMessage {}
+  record Member(InstanceInfo info, long capacity, boolean mayClaim) {}
+
+  /**
+   * The owner of the workflows, as its key names it.
+   *
+   * @param info the owner
+   * @param revision revision of its key
+   * @param lease lease of its key
+   */
+  record KnownOwner(InstanceInfo info, long revision, long lease) {}
+
+  /**
+   * Tells the owner of the workflows which instance is there to help, and asks any instance for the
+   * owner.
+   *
+   * @param member sender
+   * @param ownerRevision highest revision of the owner's key that the sender has seen
+   * @param wantsPeers whether the sender needs to know other instances
+   */
+  record MemberCall(Member member, long ownerRevision, boolean wantsPeers) implements PeerMessage {}
 
   /**
    * Answers a {@link MemberCall}.
    *
    * @param owner whether the receiver is the owner
    * @param serves whether it serves as the owner
-   * @param larger the largest instances that may claim and are clearly larger than the sender of
-   *     the call, the largest first; empty if the receiver is not the owner
+   * @param known the owner that the receiver knows, if the sender has not seen its key; else null
+   * @param larger the largest instances that may claim and are clearly larger than the sender, the
+   *     largest first; empty if the receiver is not the owner
+   * @param peers other instances that can read the owner's key, if the sender wants to know them
    */
   record MemberAnswer(
       boolean owner,
       boolean serves,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<MemberCall> larger)
+      @JsonInclude(JsonInclude.Include.NON_NULL) KnownOwner known,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Member> larger,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<InstanceInfo> peers)
       implements PeerMessage {
-    /** Copies the list, which is left out of a frame when it is empty. */
+    /** Copies the lists, which are left out of a frame when they are empty. */
     public MemberAnswer {
       larger = larger == null ? List.of() : List.copyOf(larger);
+      peers = peers == null ? List.of() : List.copyOf(peers);
     }
   }
 
--- a/node/src/test/java/dev/dandelionport/node/connection/MemberMessagesTest.java
+++ b/node/src/test/java/dev/dandelionport/node/connection/MemberMessagesTest.java
@@ -6,6 +6,8 @@
 import dev.dandelionport.core.message.PeerMessage;
 import dev.dandelionport.core.message.PeerMessage.ClaimAnswer;
 import dev.dandelionport.core.message.PeerMessage.ClaimCall;
+import dev.dandelionport.core.message.PeerMessage.KnownOwner;
+import dev.dandelionport.core.message.PeerMessage.Member;
 import dev.dandelionport.core.message.PeerMessage.MemberAnswer;
 import dev.dandelionport.core.message.PeerMessage.MemberCall;
 import dev.dandelionport.core.port.InstanceInfo;
@@ -20,11 +22,11 @@
 
   private static Stream<PeerMessage> messages() {
     InstanceInfo info = new InstanceInfo(new InstanceId("i"), "r", "fd", "127.0.0.1", 1);
-    MemberCall call = new MemberCall(info, 1_500, true);
+    Member member = new Member(info, 1_500, true);
     return Stream.of(
-        call,
-        new MemberAnswer(false, false, List.of()),
-        new MemberAnswer(true, true, List.of(call)),
+        new MemberCall(member, 7, true),
+        new MemberAnswer(false, false, null, List.of(), List.of()),
+        new MemberAnswer(true, true, new KnownOwner(info, 8, 9), List.of(member), List.of(info)),
         new ClaimCall(7),
         new ClaimAnswer(true));
   }
