Keep looking for an owner while the store fails

What callers saw: nothing so far; it was found by reading. All requests would be refused until every process is restarted.

Cause: an instance whose claim fails reads the owner's key. If that fails as well it leaves it to whoever finds the owner silent; but without a known owner nobody is asked, and without a change of the key the watch tells of nothing. When the store fails again within a few milliseconds of its return, that holds for all instances at once.

Ruled out: that a later watch starts it. The failed watch goes on from its last revision and gets no events.

Change: while no owner is known, the key is read again every 250 ms.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -30,6 +30,9 @@
   /** Time that a larger instance has for its claim, in milliseconds; it is two calls. */
   private static final long CLAIM_MILLIS = 150;
 
+  /** Wait before the key is read again while no owner is known and the store fails. */
+  private static final long NO_OWNER_MILLIS = 250;
+
   /** Part of the session's life after which it is renewed. */
   private static final int RENEW_PARTS = 4;
 
@@ -294,7 +297,12 @@
       return;
     }
     if (e != null) {
-      // Nothing is known; whoever finds the owner silent reads again.
+      // Whoever finds a known owner silent reads again; without one, and without a change of the
+      // key that the watch could tell of, nobody would.
+      if (owner.isEmpty()) {
+        claiming = true;
+        check(NO_OWNER_MILLIS);
+      }
       return;
     }
     see(entry.flatMap(this::decode));
