Learn the share of allowed runners from new answers only

Calls that only renew tickets of allowed runners counted as if all runners were allowed. After long steps that renew often the share of a queue came close to 1, so that calls named too few runners and gangs needed further calls.

Only runners about which no answer was known count now.

Evidence: AdviceBookTest. renewedTicketsDoNotRaiseTheShareOfRunnersThatIsExpectedToBeAllowed (a gang of 40 after 23 calls that renewed three tickets each) failed before: the gang did not start within 800 ms, because its first calls named 70 runners of which 35 % are allowed. It passes now, with the rest of AdviceBookTest and WideGangTest.

--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -301,6 +301,8 @@
       return;
     }
     long until = cell.now + validMillis - EARLY_MILLIS;
+    int fresh = 0;
+    int freshAllowed = 0;
     for (String id : named) {
       Runner r = cell.runners.get(id);
       if (r == null || !Objects.equals(lives.get(id), r.born)) {
@@ -309,14 +311,19 @@
       }
       String ticket = tickets.get(id);
       if (ticket == null) {
-        s.denied.add(id + r.born);
+        fresh += s.denied.add(id + r.born) ? 1 : 0;
       } else {
-        s.allowed.add(id + r.born);
+        boolean first = s.allowed.add(id + r.born);
+        fresh += first ? 1 : 0;
+        freshAllowed += first ? 1 : 0;
         s.tickets.put(id, new Step.Ticket(ticket, r.born, until));
       }
     }
-    double part = (double) tickets.size() / Math.max(1, named.size());
-    allowedPart.merge(q.name(), part, (a, b) -> a + GAIN * (b - a));
+    if (fresh > 0) {
+      // A call that renews tickets tells nothing about other runners.
+      double part = (double) freshAllowed / fresh;
+      allowedPart.merge(q.name(), part, (a, b) -> a + GAIN * (b - a));
+    }
     cell.note(
         Topic.ADVICE, "step", s.key.toString(), "named", named.size(), "allowed", tickets.size());
   }
--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceBookTest.java
@@ -5,6 +5,7 @@
 import dev.dandelionport.core.common.ResourceVector;
 import dev.dandelionport.core.testing.Steps;
 import dev.dandelionport.core.workflow.ClusterPolicy.Advice;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
@@ -145,4 +146,25 @@
                 .sum())
         .isLessThanOrEqualTo(3 * 250);
   }
+
+  // Calls that only renewed tickets counted as if all runners were allowed, so that later calls of
+  // the queue named too few new ones, and a gang needed one call after the other.
+  @Test
+  void renewedTicketsDoNotRaiseTheShareOfRunnersThatIsExpectedToBeAllowed() {
+    AdviceSimulation.Rule part = AdviceSimulation.allowPart(0.35, 1);
+    Set<String> few = Set.of("r000", "r001", "r002");
+    AdviceSimulation cell =
+        new AdviceSimulation(
+            250,
+            39,
+            LARGE,
+            (s, r) -> s.workflow().equals("long") ? few.contains(r) : part.allows(s, r));
+    cell.submit("long", AdviceSimulation.ADVISED, Steps.of(100, WHOLE, 3_000));
+    for (int round = 0; round < 25; round++) {
+      cell.run(3_500);
+      cell.end("long");
+    }
+    cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(40, WHOLE, 5_000));
+    assertThat(cell.runUntilStarted("gang", 40, 800)).isTrue();
+  }
 }
