Split the choice of runners from the book of advice

AdviceChoice now says which runners a call names and holds the learned shares; AdviceBook says when to ask and keeps the answers. No change of behaviour: AdviceBookTest, WideGangTest, HeadroomTest and WorkflowSchedulerTest pass unchanged.

--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -3,8 +3,6 @@
 import dev.dandelionport.core.workflow.ClusterPolicy.Advice;
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -15,15 +13,9 @@
 import java.util.Optional;
 import java.util.Set;
 
-/** Decides when to ask which runners may run a step, and about which, and keeps the answers. */
+/** Decides when to ask which runners may run a step, and keeps the answers. */
 final class AdviceBook {
 
-  /** Most runners that one call may name. */
-  private static final int MAX_NAMED = 100;
-
-  /** Runners that are named at least, so that few calls come back without any. */
-  private static final int MIN_NAMED = 6;
-
   /** Most calls about one gang at a time. */
   private static final int MAX_GANG_CALLS = 8;
 
@@ -33,17 +25,6 @@
    */
   private static final int MAX_LEARNING_CALLS = 2;
 
-  /** Time that a call about a gang spends on its runners, as a multiple of its fixed time. */
-  private static final double GANG_CALL_FACTOR = 0.5;
-
-  /** How much more room is asked for than the step needs. */
-  private static final double SPARE = 1.6;
-
-  /** Part of the named runners that is allowed, before any answer of a queue is known. */
-  private static final double FIRST_ALLOWED_PART = 0.4;
-
-  private static final double GAIN = 0.1;
-
   /**
    * Shortest time from an answer to the next call about urgent steps and gangs, in milliseconds.
    */
@@ -52,11 +33,13 @@
   /** Shortest time from an answer to the next call about another step, in milliseconds. */
   private static final long ASK_AGAIN_LATER_MILLIS = 250;
 
+  /** Runners in a usual call that is made ahead. */
+  private static final int FEW_RUNNERS = 12;
+
   /** Time by which a ticket is taken to end early, in milliseconds. */
   private static final long EARLY_MILLIS = 30;
 
   private final Cell cell;
-  private final Map<String, Double> allowedPart = new HashMap<>();
 
   /** Steps that want advice, the most urgent first. */
   private final Set<Step> wanted = new LinkedHashSet<>();
@@ -70,14 +53,14 @@
   /** Gangs about which a call is under way that cannot help at present. */
   private final Set<Step> learning = new HashSet<>();
 
-  private Placement placement;
+  private AdviceChoice choice;
 
   AdviceBook(Cell cell) {
     this.cell = cell;
   }
 
   void use(Placement p) {
-    placement = p;
+    choice = new AdviceChoice(cell, p);
   }
 
   /** Forgets which steps want advice; a new pass of the placement tells. */
@@ -110,7 +93,7 @@
         continue;
       }
       Advice a = q.advice().get();
-      List<Runner> named = choose(s, q, a);
+      List<Runner> named = choice.helpful(s, q, a);
       if (named.isEmpty() || !s.spec.gang()) {
         i.remove();
       }
@@ -134,18 +117,11 @@
         continue;
       }
       i.remove();
-      List<Runner> unknown = new ArrayList<>();
-      for (Runner r : cell.runners.values()) {
-        String life = r.id() + r.born;
-        boolean known = s.allowed.contains(life) || s.denied.contains(life);
-        if (!known && placement.isUsable(r, s, q)) {
-          unknown.add(r);
-        }
-      }
-      if (!unknown.isEmpty()) {
-        Advice a = q.advice().get();
+      Advice a = q.advice().get();
+      List<Runner> named = choice.unknown(s, q, a);
+      if (!named.isEmpty()) {
         learning.add(s);
-        return Optional.of(ask(s, a, unknown.subList(0, Math.min(unknown.size(), gangPart(a)))));
+        return Optional.of(ask(s, a, named));
       }
     }
     return Optional.empty();
@@ -163,101 +139,7 @@
     s.asking++;
     named.forEach(r -> s.asked.put(r.id(), r.born));
     List<String> ids = named.stream().map(Runner::id).toList();
-    return new AdviceRequest(s.key, ids, cost(a, ids.size()));
-  }
-
-  /** What is known of the runners that have room for a step, and how many tasks fit on them. */
-  private static final class Survey {
-    /** Runners that may run the step but whose tickets do not last. */
-    final List<Runner> known = new ArrayList<>();
-
-    /** Runners that were not asked about yet. */
-    final List<Runner> unknown = new ArrayList<>();
-
-    int ticketed;
-    int knownRoom;
-    int unknownRoom;
-
-    /** Room of the first and the second kind about which calls are under way. */
-    int knownAsked;
-
-    int unknownAsked;
-  }
-
-  private Survey survey(Step s, Queue q, long lastingMillis) {
-    Survey v = new Survey();
-    for (Runner r : cell.runners.values()) {
-      int room = placement.isUsable(r, s, q) ? placement.copies(r, s, q) : 0;
-      if (room == 0) {
-        continue;
-      }
-      boolean allowed = s.allowed.contains(r.id() + r.born);
-      boolean denied = s.denied.contains(r.id() + r.born);
-      boolean asked = s.asked.containsKey(r.id());
-      if (placement.hasTicket(s, r) && s.tickets.get(r.id()).untilMillis() > lastingMillis) {
-        v.ticketed += room;
-      } else if (allowed && asked) {
-        v.knownAsked += room;
-      } else if (allowed) {
-        v.known.add(r);
-        v.knownRoom += room;
-      } else if (!denied && asked) {
-        v.unknownAsked += room;
-      } else if (!denied) {
-        v.unknown.add(r);
-        v.unknownRoom += room;
-      }
-    }
-    return v;
-  }
-
-  /** Returns the runners to ask about, none if the answer could not help now. */
-  private List<Runner> choose(Step s, Queue q, Advice a) {
-    final boolean gang = s.spec.gang();
-    int needed = gang ? s.spec.tasks() : Math.max(1, s.startable(cell.now).size());
-    int most = gang ? gangPart(a) : MAX_NAMED;
-    // All members of a gang need tickets at once, also those whose calls end last.
-    long lasting = gang ? cell.now + (long) cost(a, most) : cell.now;
-    Survey v = survey(s, q, lasting);
-    int missing = needed - v.ticketed - v.knownRoom - v.knownAsked;
-    if (v.ticketed >= needed || gang && v.unknownRoom + v.unknownAsked < missing) {
-      return List.of();
-    }
-    double known = SPARE * (needed - v.ticketed) - v.knownAsked;
-    List<Runner> named = first(s, q, v.known, known, 1, 0, most);
-    if (missing > 0 || !gang && v.ticketed + v.knownRoom < needed * SPARE) {
-      double part = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
-      double fresh = SPARE * missing - part * v.unknownAsked;
-      int least = v.unknownAsked > 0 ? 0 : MIN_NAMED;
-      int left = Math.min(most - named.size(), MAX_NAMED / 2);
-      named.addAll(first(s, q, v.unknown, fresh, part, least, left));
-    }
-    return named;
-  }
-
-  /**
-   * Returns the best of some runners, {@code least} to {@code most} of them, up to those of which
-   * {@code part} has room for {@code tasks}.
-   */
-  private List<Runner> first(
-      Step s, Queue q, List<Runner> runners, double tasks, double part, int least, int most) {
-    runners.sort(Comparator.comparingDouble(r -> placement.cost(s, r)));
-    List<Runner> named = new ArrayList<>();
-    double room = 0;
-    for (Runner r : runners) {
-      if (named.size() >= most || room >= tasks && named.size() >= least) {
-        break;
-      }
-      named.add(r);
-      room += part * placement.copies(r, s, q);
-    }
-    return named;
-  }
-
-  /** Returns how many runners one of several calls about a gang names. */
-  private static int gangPart(Advice a) {
-    double runners = GANG_CALL_FACTOR * a.decideMillis() / Math.max(0.01, a.perRunnerMillis());
-    return (int) Math.max(MIN_NAMED, Math.min(MAX_NAMED, runners));
+    return new AdviceRequest(s.key, ids, AdviceChoice.cost(a, ids.size()));
   }
 
   /** Asks ahead for a step whose predecessors are about to be done. */
@@ -266,7 +148,7 @@
     if (q == null || q.advice().isEmpty() || s.asking > 0 || !s.tickets.isEmpty()) {
       return;
     }
-    double cost = cost(q.advice().get(), MIN_NAMED * 2);
+    double cost = AdviceChoice.cost(q.advice().get(), FEW_RUNNERS);
     for (int before : s.spec.after()) {
       Step b = s.workflow.step(s.key.occurrence(), before);
       long expected = cell.times.expectedMillis(b);
@@ -284,10 +166,6 @@
     ahead.add(s);
   }
 
-  private static double cost(Advice a, int runners) {
-    return a.decideMillis() + runners * a.perRunnerMillis();
-  }
-
   /** Takes over an answer; {@code tickets} is null if the call failed. */
   void answered(Step s, List<String> named, Map<String, String> tickets, long validMillis) {
     s.asking--;
@@ -321,8 +199,7 @@
     }
     if (fresh > 0) {
       // A call that renews tickets tells nothing about other runners.
-      double part = (double) freshAllowed / fresh;
-      allowedPart.merge(q.name(), part, (a, b) -> a + GAIN * (b - a));
+      choice.learn(q, (double) freshAllowed / fresh);
     }
     cell.note(
         Topic.ADVICE, "step", s.key.toString(), "named", named.size(), "allowed", tickets.size());
