Try gangs bound to a rack or spread out in the test of wide gangs

A quarter of the gangs of the random cells are now bound to one rack where possible and a quarter take at most one or two tasks on a runner.

--- a/core/src/test/java/dev/dandelionport/core/workflow/WideGangTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WideGangTest.java
@@ -83,13 +83,41 @@
     }
 
     /** Returns how many tasks fit on the runners that are allowed. */
-    int fits(String workflow, ResourceVector task) {
+    int fits(String workflow, ResourceVector task, int maxPerRunner) {
       int n = 0;
       for (String r : cell.runners) {
-        n += cell.allows(workflow, r) ? task.copiesIn(free.get(r)) : 0;
+        int copies = cell.allows(workflow, r) ? task.copiesIn(free.get(r)) : 0;
+        n += maxPerRunner > 0 ? Math.min(maxPerRunner, copies) : copies;
       }
       return n;
     }
+
+    /** Returns a gang that fits twice over, some of them bound to one rack or spread out. */
+    StepSpec gang(String workflow) {
+      long cores = 4_000 + random.nextInt(28_000);
+      ResourceVector task = new ResourceVector(0, 0, cores, 2_000 + random.nextInt(20_000), 0);
+      boolean sameRack = random.nextInt(4) == 0;
+      int maxPerRunner = random.nextInt(4) == 0 ? 1 + random.nextInt(2) : 0;
+      int tasks = Math.min(120, fits(workflow, task, maxPerRunner) / 2);
+      StepSpec s = Steps.gang(tasks, task, 5_000);
+      return new StepSpec(
+          s.tasks(),
+          s.size(),
+          s.estimateMillis(),
+          s.after(),
+          false,
+          true,
+          sameRack,
+          "",
+          "",
+          maxPerRunner,
+          false,
+          false,
+          false,
+          "",
+          0,
+          0);
+    }
   }
 
   // A gang waited for ever although half of the cell was free: its runners were not asked about, or
@@ -100,21 +128,18 @@
     StringBuilder late = new StringBuilder();
     for (int i = 0; i < CELLS; i++) {
       RandomCell c = new RandomCell(1_000 * seed + i);
-      long cores = 4_000 + c.random.nextInt(28_000);
-      ResourceVector task = new ResourceVector(0, 0, cores, 2_000 + c.random.nextInt(20_000), 0);
-      int tasks = Math.min(120, c.fits("gang", task) / 2);
-      if (tasks < 2) {
+      StepSpec gang = c.gang("gang");
+      if (gang.tasks() < 2) {
         continue;
       }
-      c.cell.submit("gang", AdviceSimulation.ADVISED, Steps.gang(tasks, task, 5_000));
-      if (!c.cell.runUntilStarted("gang", tasks, START_MILLIS)) {
+      c.cell.submit("gang", AdviceSimulation.ADVISED, gang);
+      if (!c.cell.runUntilStarted("gang", gang.tasks(), START_MILLIS)) {
         late.append(
             String.format(
-                "%n%d: %dx%dm/%dMB, %d runners, %d named, %d refused",
+                "%n%d: %s, rack %b, %d runners, %d named, %d refused",
                 1_000 * seed + i,
-                tasks,
-                cores,
-                task.memoryMb(),
+                gang.summary(),
+                gang.sameRack(),
                 c.cell.runners.size(),
                 c.cell.named("gang").size(),
                 c.cell.refused));
