Queue one stop for a run, and give up starts behind them

Callers saw a task wait for seconds on a runner that had gone silent although there was room elsewhere, and runs of cancelled workflows that were not told again to stop.

Cause: each run that must stop is told again every 400 ms, and each repetition was put in front of everything that waited for one of the three orders under way. A silent runner answers three in 400 ms at most, so the list grew, the latest stops were sent again and again and the oldest never, and starts behind them were neither sent nor given up until all leases had run out.

Ruled out: the placement, which chooses no silent runner; the starts were decided before the runner was known to be silent.

Evidence: WorkflowInstanceTest.silentRunnerIsToldInTurnToStopEachRun failed before (one run was told 3 times, another 10 times in 4 s) and startThatWaitsBehindStopsToSilentRunnerIsGivenUp, too (not done after 3 s).

Change: the stops that wait are a set in their order, with one entry for a run. Once a runner counts as silent the starts that wait are given up, which takes no call because the scheduler refuses them.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -12,7 +12,9 @@
 import dev.dandelionport.core.workflow.WorkflowScheduler;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -95,11 +97,17 @@
   /** Whether ends were listed whose records are not durable yet. */
   private boolean endsPending;
 
+  /** A run of a task. */
+  private record RunKey(TaskKey task, int run) {}
+
+  /** Stops that wait for an order under way to be answered, the oldest first, one for each run. */
+  private final Set<RunKey> stops = new LinkedHashSet<>();
+
   /**
-   * Orders that wait for one under way to be answered. Each returns whether it has sent a call;
-   * {@link #orderDone} is called with the answer.
+   * Starts that wait for an order under way to be answered. Each returns whether it has sent a
+   * call; {@link #orderDone} is called with the answer.
    */
-  private final Deque<BooleanSupplier> orders = new ArrayDeque<>();
+  private final Deque<BooleanSupplier> starts = new ArrayDeque<>();
 
   private int ordersUnderWay;
   private long notBeforeMillis;
@@ -135,7 +143,7 @@
 
   /** Returns how many orders wait for one under way to be answered. */
   int ordersWaiting() {
-    return orders.size();
+    return stops.size() + starts.size();
   }
 
   /** Returns whether a call that asks the runner is under way. */
@@ -250,7 +258,8 @@
       ackedEnd = 0;
       ackUnheard = false;
       // They were meant for the earlier life; the scheduler gives their runs up.
-      orders.clear();
+      stops.clear();
+      starts.clear();
     }
     if (failures > 0 && silentReported) {
       context.report(DispatchTopic.RUNNER_BACK, "runner", id(), "failures", failures);
@@ -300,19 +309,40 @@
     }
     if (failures > 1) {
       host.scheduler().silent(id());
+      giveUpStarts();
     }
     wake();
   }
 
   /** Sends a start whose record is durable, unless the run may no longer start by then. */
   void start(TaskKey task, int run) {
-    orders.add(() -> sendStart(task, run));
+    starts.add(() -> sendStart(task, run));
     sendOrders();
   }
 
   private void sendOrders() {
-    while (ordersUnderWay < MAX_ORDERS && !orders.isEmpty()) {
-      if (orders.poll().getAsBoolean()) {
+    while (ordersUnderWay < MAX_ORDERS && !(stops.isEmpty() && starts.isEmpty())) {
+      if (sendOrder()) {
+        ordersUnderWay++;
+      }
+    }
+  }
+
+  private boolean sendOrder() {
+    if (stops.isEmpty()) {
+      return starts.poll().getAsBoolean();
+    }
+    RunKey first = stops.iterator().next();
+    stops.remove(first);
+    sendStop(first.task(), first.run());
+    return true;
+  }
+
+  /** Gives up the starts that wait behind stops which a silent runner does not answer. */
+  private void giveUpStarts() {
+    while (!starts.isEmpty()) {
+      // The scheduler refuses each of them, because the runner is silent.
+      if (starts.poll().getAsBoolean()) {
         ordersUnderWay++;
       }
     }
@@ -366,16 +396,16 @@
     wake();
   }
 
-  /** Sends a stop, before starts that wait. */
+  /** Sends a stop, before starts that wait, unless one for the run waits already. */
   void stop(TaskKey task, int run) {
     if (address.hostPort().isEmpty()) {
       return;
     }
-    orders.addFirst(() -> sendStop(task, run));
+    stops.add(new RunKey(task, run));
     sendOrders();
   }
 
-  private boolean sendStop(TaskKey task, int run) {
+  private void sendStop(TaskKey task, int run) {
     Address to = address;
     shard.afterwards(
         () ->
@@ -383,7 +413,6 @@
                 .runners()
                 .stop(to, task, run, token, CALL_MILLIS)
                 .whenComplete((ok, e) -> shard.run(() -> stopped(task, run, ok, e))));
-    return true;
   }
 
   private void stopped(TaskKey task, int run, Boolean ok, Throwable e) {
--- a/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
@@ -9,12 +9,14 @@
 import dev.dandelionport.core.workflow.StartResult;
 import dev.dandelionport.core.workflow.TaskKey;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -58,6 +60,12 @@
   double latePart;
   int starts;
 
+  /** Number of stops that were sent for each task, also those without an answer. */
+  final Map<TaskKey, Integer> stops = new TreeMap<>(Comparator.comparing(TaskKey::toString));
+
+  /** Number of holds that were sent to each runner, also those without an answer. */
+  final Map<String, Integer> holds = new TreeMap<>();
+
   /** Most orders that were under way to one runner at the same time. */
   int mostOrders;
 
@@ -211,6 +219,7 @@
       @Override
       public CompletableFuture<Boolean> stop(
           Address to, TaskKey task, int run, long token, long timeout) {
+        stops.merge(task, 1, Integer::sum);
         return call(
             to.runner(),
             true,
@@ -234,6 +243,7 @@
       @Override
       public CompletableFuture<HoldAnswer> hold(
           Address to, long token, long acked, long until, long wait, long timeout) {
+        holds.merge(to.runner(), 1, Integer::sum);
         CompletableFuture<HoldAnswer> f = new CompletableFuture<>();
         long deadline = time.nowMillis() + wait;
         call(to.runner(), false, timeout, () -> extend(to.runner(), token, acked, until))
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -183,6 +183,10 @@
     return call(at, WorkflowCallKind.SUBMIT, id, WorkflowCodec.encodeSpec(spec));
   }
 
+  CompletableFuture<WorkflowAnswer> cancel(Node at, String id) {
+    return call(at, WorkflowCallKind.CANCEL, id, new byte[0]);
+  }
+
   CompletableFuture<WorkflowAnswer> read(Node at, String id) {
     return call(at, WorkflowCallKind.READ, id, new byte[0]);
   }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -9,6 +9,7 @@
 import dev.dandelionport.core.workflow.StepSpec;
 import dev.dandelionport.core.workflow.WorkflowState;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -145,6 +146,53 @@
     assertThat(c.runners.broken).isEmpty();
   }
 
+  // Stops to a silent runner were repeated in front of each other and of starts: the list grew, and
+  // the oldest stops were not sent again.
+  @Test
+  void silentRunnerIsToldInTurnToStopEachRun() {
+    WorkflowCluster c = new WorkflowCluster(10, 1);
+    c.time.runFor(2_000);
+    for (int i = 1; i < 6; i++) {
+      c.store.remove("runners/r" + i);
+    }
+    c.time.runFor(1_000);
+    assertThat(await(c, c.submit(c.any(), "w", step(4))).status()).isEqualTo(WorkflowStatus.OK);
+    assertThat(c.time.runUntil(() -> c.runners.starts == 4, 300)).isTrue();
+    c.time.runFor(50);
+    c.runners.cut.add("r0");
+    assertThat(await(c, c.cancel(c.any(), "w")).status()).isEqualTo(WorkflowStatus.OK);
+    c.time.runFor(4_000);
+    assertThat(c.runners.stops).hasSize(4);
+    int most = Collections.max(c.runners.stops.values());
+    assertThat(Collections.min(c.runners.stops.values())).isBetween(most / 2, most);
+    c.time.runFor(2_000);
+    assertThat(c.reports)
+        .filteredOn(r -> r.topic() == DispatchTopic.OWNER_LOAD)
+        .allSatisfy(r -> assertThat((int) r.fields().get("ordersMost")).isLessThanOrEqualTo(4));
+  }
+
+  // Repeated stops kept a start from its turn until all leases had run out: its task waited on a
+  // silent runner although there was room elsewhere.
+  @Test
+  void startThatWaitsBehindStopsToSilentRunnerIsGivenUp() {
+    WorkflowCluster c = new WorkflowCluster(11, 1);
+    c.time.runFor(2_000);
+    for (int i = 1; i < 6; i++) {
+      c.store.remove("runners/r" + i);
+    }
+    c.time.runFor(1_000);
+    StepSpec small = Steps.of(6, new ResourceVector(0, 0, 500, 10, 0), 400);
+    assertThat(await(c, c.submit(c.any(), "w", small)).status()).isEqualTo(WorkflowStatus.OK);
+    assertThat(c.time.runUntil(() -> c.runners.starts == 6, 300)).isTrue();
+    c.time.runFor(50);
+    c.runners.cut.add("r0");
+    assertThat(await(c, c.cancel(c.any(), "w")).status()).isEqualTo(WorkflowStatus.OK);
+    assertThat(await(c, c.submit(c.any(), "x", step(1))).status()).isEqualTo(WorkflowStatus.OK);
+    c.store.put("runners/r1", "");
+    c.time.runFor(3_000);
+    assertThat(completed(c, "x")).isTrue();
+  }
+
   // A watch that waits for changes was taken for an outage of the store, in which lapsed entries
   // stand; runners that had left for good were given work.
   @Test
