Ask a runner that started anew no more than others

What was seen in virtual time: an idle runner got over 300 calls a second, each priced as a probe, until a task ended on it again.

Class of fault: state that is cleared on only some of the ways out.

Ruled out: the runs of the former life, which had all ended.

Change: another life of a runner has no ends pending until it lists some.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -257,6 +257,7 @@
       lastEnd = 0;
       ackedEnd = 0;
       ackUnheard = false;
+      endsPending = false;
       // They were meant for the earlier life; the scheduler gives their runs up.
       stops.clear();
       starts.clear();
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -193,6 +193,27 @@
     assertThat(completed(c, "x")).isTrue();
   }
 
+  // A runner that started anew while its ends waited for the journal was asked without a pause for
+  // as long as its new life had no end of its own.
+  @Test
+  void runnerThatStartsAnewWithEndsPendingIsNotAskedAgainAndAgain() {
+    WorkflowCluster c = new WorkflowCluster(12, 1);
+    c.time.runFor(2_000);
+    assertThat(await(c, c.submit(c.any(), "w", step(1))).status()).isEqualTo(WorkflowStatus.OK);
+    assertThat(c.time.runUntil(() -> c.runners.busy().size() == 1, 300)).isTrue();
+    String runner = c.runners.busy().get(0);
+    c.store.lostPart = 1;
+    c.time.runFor(500);
+    c.runners.crash(runner);
+    c.time.runFor(1_500);
+    c.store.lostPart = 0;
+    c.time.runFor(4_000);
+    assertThat(completed(c, "w")).isTrue();
+    c.runners.holds.clear();
+    c.time.runFor(1_000);
+    assertThat(c.runners.holds.getOrDefault(runner, 0)).isLessThan(10);
+  }
+
   // A watch that waits for changes was taken for an outage of the store, in which lapsed entries
   // stand; runners that had left for good were given work.
   @Test
