Ask a runner that has left no longer once nothing runs there

What was seen in virtual time: a runner that was gone for good was asked about once a second by each owner until that owner ended. Each such call is priced as a probe; a failure domain that is replaced leaves as many of them as it had busy runners.

Cause: a link outlives its runner, and one whose last call failed always asks again, whether or not the directory still lists the runner or a run may be there.

The test also checks that the runner gets work again when its entry comes back.

Change: a silent runner that is not listed and has no runs is not asked. Its return to the directory wakes the link as before.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -170,10 +170,15 @@
       failures = Math.max(1, failures);
       return;
     }
+    boolean runs = host.scheduler().hasRuns(id());
+    if (failures > 1 && !runs && !host.scheduler().isListed(id())) {
+      // It has left; if its entry comes back it is asked again.
+      return;
+    }
     boolean awaits = host.scheduler().awaitsReport(id());
     boolean unknown = !answered || host.scheduler().isUnasked(id());
     boolean needed = unknown || failures > 0 || endsPending || ackUnheard || awaits;
-    if (!needed && !host.scheduler().hasRuns(id())) {
+    if (!needed && !runs) {
       return;
     }
     if ((awaits || ackUnheard) && holding && !looking && now >= notBeforeMillis) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -233,6 +233,12 @@
     return r != null && r.listed && !r.fenced;
   }
 
+  /** Returns whether the directory lists a runner now. */
+  public boolean isListed(String runner) {
+    Runner r = cell.runners.get(runner);
+    return r != null && r.listed;
+  }
+
   /** Notes that calls to a runner fail; it gets no work until it reports again. */
   public void silent(String runner) {
     Runner r = cell.runners.get(runner);
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -214,6 +214,32 @@
     assertThat(c.runners.holds.getOrDefault(runner, 0)).isLessThan(10);
   }
 
+  // A runner that had left for good while something ran there was asked every second for as long as
+  // the owner lived.
+  @Test
+  void runnerThatHasLeftIsNotAskedOnceItsLeasesHaveEnded() {
+    WorkflowCluster c = new WorkflowCluster(13, 1);
+    c.time.runFor(2_000);
+    assertThat(await(c, c.submit(c.any(), "w", step(1))).status()).isEqualTo(WorkflowStatus.OK);
+    assertThat(c.time.runUntil(() -> c.runners.busy().size() == 1, 300)).isTrue();
+    String runner = c.runners.busy().get(0);
+    c.runners.cut.add(runner);
+    c.store.remove("runners/" + runner);
+    c.time.runFor(10_000);
+    assertThat(completed(c, "w")).isTrue();
+    c.runners.holds.clear();
+    c.time.runFor(5_000);
+    assertThat(c.runners.holds).doesNotContainKey(runner);
+    c.runners.cut.clear();
+    for (int i = 0; i < 6; i++) {
+      c.store.remove("runners/r" + i);
+    }
+    c.store.put("runners/" + runner, "");
+    assertThat(await(c, c.submit(c.any(), "x", step(1))).status()).isEqualTo(WorkflowStatus.OK);
+    c.time.runFor(2_000);
+    assertThat(completed(c, "x")).isTrue();
+  }
+
   // A watch that waits for changes was taken for an outage of the store, in which lapsed entries
   // stand; runners that had left for good were given work.
   @Test
