--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -255,6 +255,10 @@
     return call(at, WorkflowCallKind.SUBMIT, "/q/" + id, "", WorkflowCodec.encodeSpec(spec));
   }
 
+  CompletableFuture<WorkflowAnswer> cancel(Node at, String id) {
+    return call(at, WorkflowCallKind.CANCEL, id, new byte[0]);
+  }
+
   CompletableFuture<WorkflowAnswer> read(Node at, String id) {
     return call(at, WorkflowCallKind.READ, "/q/" + id, "", new byte[0]);
   }
