Let the first answer of the advice service not decide alone

Callers saw the class of gangs get hardly anything from some owners, until another owner took over. Cause: the part of the runners that a queue may use was taken from the first answer as it was, and only blended from the second on. An answer on 6 to 10 runners of which a third is allowed names none in one case of 13 to 75. Gangs are asked about only if that part of the room holds them, so with a part of 0 no gang of the queue was asked about again, also in an empty cell, and nothing could correct the part. Ruled out in that state: a queue of calls (no lane was busy), held runners (2 of 33) and the room kept free for urgent work (a sixteenth). Change: the first answer is blended with the assumed part like all others.

--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceBook.java
@@ -207,7 +207,8 @@
       }
     }
     double part = (double) tickets.size() / Math.max(1, named.size());
-    allowedPart.merge(q.name(), part, (a, b) -> a + GAIN * (b - a));
+    double before = allowedPart.getOrDefault(q.name(), FIRST_ALLOWED_PART);
+    allowedPart.put(q.name(), before + GAIN * (part - before));
     cell.note(
         Topic.ADVICE, "step", s.key.toString(), "named", named.size(), "allowed", tickets.size());
   }
