Hear a runner that started again with an earlier wall clock

What callers saw: nothing so far; it was found by reading. Work on such a runner would never end, because its leases are extended and its ends dropped.

Cause: the life of a runner is named by the wall-clock time of its start. A report of an earlier time was always taken for an answer of an earlier life that was overtaken by a newer one, also when the clock had been set back.

Ruled out: other places that compare lives; they only test for equality.

Change: an answer is dropped only if its call was sent before the present life was first heard.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -85,6 +85,10 @@
   private boolean looking;
   private boolean silentReported;
   private long born;
+
+  /** When the present life first answered, on the steady clock. */
+  private long bornMillis;
+
   private long lastEnd;
   private long ackedEnd;
 
@@ -256,14 +260,16 @@
   }
 
   private void report(RunnerReport r, long sent) {
-    if (r.born() < born) {
-      // An answer of an earlier life that was overtaken.
+    if (r.born() < born && sent <= bornMillis) {
+      // An answer of an earlier life that was overtaken. To a later call only the present life
+      // answers, whose wall clock may have been set back.
       wake();
       return;
     }
     reportedMillis = context.nowMillis();
     if (r.born() != born) {
       born = r.born();
+      bornMillis = reportedMillis;
       lastEnd = 0;
       ackedEnd = 0;
       ackUnheard = false;
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunners.java
@@ -67,8 +67,12 @@
     final Map<TaskKey, Integer> barred = new HashMap<>();
     final List<RunnerReport.End> ends = new ArrayList<>();
     final Set<Long> lapsedEnds = new HashSet<>();
+
+    /** When it began by its own wall clock, and in virtual time. */
     final long born;
 
+    final long begun;
+
     /** Speed of its clock, up to 2 % slow. */
     final double rate;
 
@@ -76,13 +80,14 @@
     long until;
     long lastEnd;
 
-    Life(long born, double rate) {
+    Life(long born, long begun, double rate) {
       this.born = born;
+      this.begun = begun;
       this.rate = rate;
     }
 
     long clock(long now) {
-      return (long) ((now - born) * rate);
+      return (long) ((now - begun) * rate);
     }
   }
 
@@ -121,9 +126,14 @@
 
   /** Starts a new life of a runner that holds and knows nothing. */
   void restart(String id) {
+    restart(id, 0);
+  }
+
+  /** The same, with a wall clock that is late by some milliseconds. */
+  void restart(String id, long lateMillis) {
     crash(id);
     double rate = 0.98 + 0.02 * time.random().nextDouble();
-    lives.put(id, new Life(time.nowMillis(), rate));
+    lives.put(id, new Life(time.nowMillis() - lateMillis, time.nowMillis(), rate));
   }
 
   /** Ends a runner and all that runs there. */
