--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -256,7 +256,7 @@
   }
 
   CompletableFuture<WorkflowAnswer> cancel(Node at, String id) {
-    return call(at, WorkflowCallKind.CANCEL, id, new byte[0]);
+    return call(at, WorkflowCallKind.CANCEL, "/q/" + id, "", new byte[0]);
   }
 
   CompletableFuture<WorkflowAnswer> read(Node at, String id) {
