Probe a held runner with one task also of a step with many

What was seen in virtual time: a runner that is held back because it fails what it gets was sent all six tasks of one step at once when it might be probed. On a runner that still fails each of them loses an attempt.

Cause: whether a runner may be probed is checked when the candidates of a step are chosen, and then each of its tasks is placed on its own; the limit of one task held for each of them and did not see the probe that had just begun.

Ruled out: several steps in one pass, which do see it.

Evidence: WorkflowSchedulerTest.heldRunnerGetsOneTaskOfStepAsProbe found 6 starts instead of 1 before; it passes now, with WorkflowInstanceTest, WorkflowReplayTest, WatchdogTest, WideGangTest, WaitReportTest, HeadroomTest, AdviceBookTest and RunnerHealthTest.

Change: a held runner has room for no task while a probe of it runs.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -218,7 +218,8 @@
       n = Math.min(n, s.spec.maxPerRunner() - r.count(s));
     }
     if (r.health.isHeld()) {
-      n = Math.min(n, 1);
+      // One probe at a time, also while the tasks of one step are placed.
+      n = Math.min(n, r.health.accepts(cell.now) ? 1 : 0);
     }
     return Math.max(0, Math.min(n, s.spec.tasks()));
   }
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowSchedulerTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowSchedulerTest.java
@@ -276,6 +276,28 @@
     assertThat(cell.starts()).hasSize(1);
   }
 
+  // A step with several tasks put all of them on a runner that was held back for failing, instead
+  // of one as a probe.
+  @Test
+  void heldRunnerGetsOneTaskOfStepAsProbe() {
+    cell.draining.add("r2");
+    cell.runners();
+    for (int i = 0; i < 4; i++) {
+      cell.submit("bad" + i, "batch", WorkflowFixture.step(1, 100));
+      cell.started(StartResult.PRESENT).forEach(s -> cell.end(s, RunEnd.FAILED, ""));
+      cell.scheduler.cancel("bad" + i);
+    }
+    cell.submit("w", "batch", WorkflowFixture.step(6, 100));
+    assertThat(cell.starts()).isEmpty();
+    cell.now += 10_000;
+    cell.place();
+    List<Start> probe = cell.started(StartResult.PRESENT);
+    assertThat(probe).hasSize(1);
+    cell.end(probe.get(0), RunEnd.DONE, "");
+    cell.place();
+    assertThat(cell.starts()).hasSize(5);
+  }
+
   // Guards against a repetition that starts before its time.
   @Test
   void occurrencesStartWhenTheyAreDue() {
