--- a/core/src/test/java/dev/dandelionport/core/testing/Steps.java
+++ b/core/src/test/java/dev/dandelionport/core/testing/Steps.java
@@ -24,6 +24,42 @@
     return step(tasks, size, estimateMillis, List.of(), true, false);
   }
 
+  /** Returns a step whose tasks run until their workflow is cancelled. */
+  public static StepSpec lasting(int tasks, ResourceVector size) {
+    StepSpec s = plain(tasks, size, 400, List.of(), false);
+    return with(s, false, 0, true);
+  }
+
+  /** Returns the same step bound to one rack. */
+  public static StepSpec onOneRack(StepSpec s) {
+    return with(s, true, s.maxPerRunner(), s.lasting());
+  }
+
+  /** Returns the same step with a bound of tasks on one runner. */
+  public static StepSpec spread(StepSpec s, int maxPerRunner) {
+    return with(s, s.sameRack(), maxPerRunner, s.lasting());
+  }
+
+  private static StepSpec with(StepSpec s, boolean oneRack, int maxPerRunner, boolean lasting) {
+    return new StepSpec(
+        s.tasks(),
+        s.size(),
+        s.estimateMillis(),
+        s.after(),
+        s.checkpoints(),
+        s.gang(),
+        oneRack,
+        s.label(),
+        s.nearRack(),
+        maxPerRunner,
+        s.speculative(),
+        lasting,
+        s.filler(),
+        s.image(),
+        s.latencyGoalMillis(),
+        s.mayMiss());
+  }
+
   private static StepSpec plain(
       int tasks, ResourceVector size, long estimateMillis, List<Integer> after, boolean gang) {
     return step(tasks, size, estimateMillis, after, false, gang);
