--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -10,12 +10,7 @@
 import dev.dandelionport.core.workflow.StartResult;
 import dev.dandelionport.core.workflow.TaskKey;
 import dev.dandelionport.core.workflow.WorkflowScheduler;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.LinkedHashSet;
 import java.util.Optional;
-import java.util.Set;
-import java.util.function.BooleanSupplier;
 
 /**
  * Talks to one runner: keeps a hold waiting there while something runs on it, gives orders, and
@@ -44,12 +39,6 @@
   /** Age of a report from which another life of the runner may have begun, in milliseconds. */
   private static final long FRESH_MILLIS = 300;
 
-  /**
-   * Most orders under way to the runner. Each needs a connection of its own, and a new owner that
-   * opened one for every start of a batch was busy with that for seconds.
-   */
-  private static final int MAX_ORDERS = 3;
-
   /** What the link needs of its owner. */
   interface Host {
     WorkflowScheduler scheduler();
@@ -101,19 +90,7 @@
   /** Whether ends were listed whose records are not durable yet. */
   private boolean endsPending;
 
-  /** A run of a task. */
-  private record RunKey(TaskKey task, int run) {}
-
-  /** Stops that wait for an order under way to be answered, the oldest first, one for each run. */
-  private final Set<RunKey> stops = new LinkedHashSet<>();
-
-  /**
-   * Starts that wait for an order under way to be answered. Each returns whether it has sent a
-   * call; {@link #orderDone} is called with the answer.
-   */
-  private final Deque<BooleanSupplier> starts = new ArrayDeque<>();
-
-  private int ordersUnderWay;
+  private final RunnerOrders orders = new RunnerOrders(this::sendStop, this::sendStart);
   private long notBeforeMillis;
   private long reportedMillis;
   private long lastSentMillis;
@@ -147,7 +124,7 @@
 
   /** Returns how many orders wait for one under way to be answered. */
   int ordersWaiting() {
-    return stops.size() + starts.size();
+    return orders.waiting();
   }
 
   /** Returns whether a call that asks the runner is under way. */
@@ -275,8 +252,7 @@
       ackUnheard = false;
       endsPending = false;
       // They were meant for the earlier life; the scheduler gives their runs up.
-      stops.clear();
-      starts.clear();
+      orders.clear();
     }
     if (failures > 0 && silentReported) {
       context.report(DispatchTopic.RUNNER_BACK, "runner", id(), "failures", failures);
@@ -326,48 +302,14 @@
     }
     if (failures > 1) {
       host.scheduler().silent(id());
-      giveUpStarts();
+      orders.giveUpStarts();
     }
     wake();
   }
 
   /** Sends a start whose record is durable, unless the run may no longer start by then. */
   void start(TaskKey task, int run) {
-    starts.add(() -> sendStart(task, run));
-    sendOrders();
-  }
-
-  private void sendOrders() {
-    while (ordersUnderWay < MAX_ORDERS && !(stops.isEmpty() && starts.isEmpty())) {
-      if (sendOrder()) {
-        ordersUnderWay++;
-      }
-    }
-  }
-
-  private boolean sendOrder() {
-    if (stops.isEmpty()) {
-      return starts.poll().getAsBoolean();
-    }
-    RunKey first = stops.iterator().next();
-    stops.remove(first);
-    sendStop(first.task(), first.run());
-    return true;
-  }
-
-  /** Gives up the starts that wait behind stops which a silent runner does not answer. */
-  private void giveUpStarts() {
-    while (!starts.isEmpty()) {
-      // The scheduler refuses each of them, because the runner is silent.
-      if (starts.poll().getAsBoolean()) {
-        ordersUnderWay++;
-      }
-    }
-  }
-
-  private void orderDone() {
-    ordersUnderWay--;
-    sendOrders();
+    orders.start(task, run);
   }
 
   private boolean sendStart(TaskKey task, int run) {
@@ -392,7 +334,7 @@
   }
 
   private void started(StartOrder order, StartAnswer a, Throwable e) {
-    orderDone();
+    orders.answered();
     if (e != null) {
       startAnswered(order, StartResult.UNKNOWN, RunnerClient.NO_TIME);
     } else {
@@ -418,8 +360,7 @@
     if (address.hostPort().isEmpty()) {
       return;
     }
-    stops.add(new RunKey(task, run));
-    sendOrders();
+    orders.stop(task, run);
   }
 
   private void sendStop(TaskKey task, int run) {
@@ -433,7 +374,7 @@
   }
 
   private void stopped(TaskKey task, int run, Boolean ok, Throwable e) {
-    orderDone();
+    orders.answered();
     if (e != null || host.isEnded()) {
       // The scheduler sends it again while the run is not known to have ended.
       return;
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/SnapshotParts.java
@@ -0,0 +1,37 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.workflow.WorkflowCodec;
+import dev.dandelionport.core.workflow.WorkflowRecord;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Splits a snapshot into values that the store takes. */
+final class SnapshotParts {
+
+  /** Bytes of a part. */
+  private static final int PART_BYTES = 256 << 10;
+
+  /** Records that a part is tried with; a record takes up to about 5 KB. */
+  private static final int PART_RECORDS = 1_000;
+
+  private SnapshotParts() {}
+
+  /** Returns the encoded parts of a snapshot, in the order in which they are replayed. */
+  static List<byte[]> split(List<WorkflowRecord> all) {
+    List<byte[]> parts = new ArrayList<>();
+    int from = 0;
+    int step = PART_RECORDS;
+    while (from < all.size()) {
+      int to = Math.min(all.size(), from + step);
+      byte[] bytes = WorkflowCodec.encode(all.subList(from, to));
+      if (bytes.length > PART_BYTES && to - from > 1) {
+        step = Math.max(1, (to - from) / 2);
+        continue;
+      }
+      parts.add(bytes);
+      from = to;
+      step = PART_RECORDS;
+    }
+    return parts;
+  }
+}
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
@@ -41,12 +41,6 @@
   /** Batches after which a snapshot replaces them. */
   private static final int SNAPSHOT_BATCHES = 250;
 
-  /** Bytes of a snapshot's part. */
-  private static final int PART_BYTES = 256 << 10;
-
-  /** Records that a part is tried with; a record takes up to about 5 KB. */
-  private static final int PART_RECORDS = 1_000;
-
   /** Age of a batch from which it is reported as slow, in milliseconds. */
   private static final long SLOW_MILLIS = 500;
 
@@ -348,7 +342,7 @@
     batchesSinceSnapshot = 0;
     snapshotting = true;
     long number = next - 1;
-    List<byte[]> parts = split(all);
+    List<byte[]> parts = SnapshotParts.split(all);
     List<String> keys = new ArrayList<>();
     for (int i = 0; i < parts.size(); i++) {
       keys.add(StoreKeys.part(number, i));
@@ -356,24 +350,6 @@
     writePart(number, parts, keys, 0);
   }
 
-  private static List<byte[]> split(List<WorkflowRecord> all) {
-    List<byte[]> parts = new ArrayList<>();
-    int from = 0;
-    int step = PART_RECORDS;
-    while (from < all.size()) {
-      int to = Math.min(all.size(), from + step);
-      byte[] bytes = WorkflowCodec.encode(all.subList(from, to));
-      if (bytes.length > PART_BYTES && to - from > 1) {
-        step = Math.max(1, (to - from) / 2);
-        continue;
-      }
-      parts.add(bytes);
-      from = to;
-      step = PART_RECORDS;
-    }
-    return parts;
-  }
-
   private void writePart(long number, List<byte[]> parts, List<String> keys, int i) {
     boolean last = i == parts.size();
     String key = last ? StoreKeys.HEAD : keys.get(i);
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -12,9 +12,7 @@
 import dev.dandelionport.core.workflow.WorkflowEffect;
 import dev.dandelionport.core.workflow.WorkflowRecord;
 import dev.dandelionport.core.workflow.WorkflowScheduler;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,21 +40,15 @@
   /** Interval at which it is reported how busy the owner is, in milliseconds. */
   private static final long LOAD_MILLIS = 2_000;
 
-  /** Most calls that wait for the workflows to be rebuilt. */
-  private static final int MAX_EARLY = 2_000;
-
-  /** Wait before they are answered, so that the runners are asked first, in milliseconds. */
+  /**
+   * Wait before calls that came early are answered, so that the runners are asked first, in
+   * milliseconds.
+   */
   private static final long EARLY_MILLIS = 30;
 
-  /** Calls among them that are answered at a time. */
-  private static final int EARLY_SLICE = 20;
-
   /** Age of the store's latest answer up to which it counts as answering, in milliseconds. */
   private static final long CALM_MILLIS = 600;
 
-  /** A call that came before the workflows were rebuilt. */
-  private record Early(WorkflowCall call, CompletableFuture<WorkflowAnswer> answer) {}
-
   private final DispatchContext context;
   private final Shard shard;
   private final long revision;
@@ -67,7 +59,7 @@
   private final CallerDesk desk;
   private final OwnerLoad load;
   private final Map<String, RunnerLink> links = new HashMap<>();
-  private final Deque<Early> early = new ArrayDeque<>();
+  private final EarlyCalls early = new EarlyCalls();
   private final long formerLapsedMillis;
   private final long claimedMillis;
   private WorkflowJournal journal;
@@ -348,8 +340,7 @@
       journal.stop();
     }
     desk.close();
-    early.forEach(e -> e.answer().complete(WorkflowAnswer.of(WorkflowStatus.NOT_OWNER)));
-    early.clear();
+    early.refuse();
   }
 
   private void advised(AdviceRequest ask, Map<String, String> tickets, long validMillis) {
@@ -379,7 +370,7 @@
     return isOpen()
         && now - storeSeenMillis < CALM_MILLIS
         && !journal.isFailing()
-        && early.isEmpty()
+        && early.size() == 0
         && (now > formerLapsedMillis
             || scheduler.runnersWithRuns().stream().allMatch(r -> link(r).answers()));
   }
@@ -397,22 +388,19 @@
       now();
       return desk.call(c, this::decided);
     }
-    if (ended || early.size() >= MAX_EARLY) {
-      return CompletableFuture.completedFuture(WorkflowAnswer.of(WorkflowStatus.NOT_OWNER));
-    }
-    Early e = new Early(c, new CompletableFuture<>());
-    early.add(e);
-    return e.answer();
+    return ended
+        ? CompletableFuture.completedFuture(WorkflowAnswer.of(WorkflowStatus.NOT_OWNER))
+        : early.add(c);
   }
 
   /** Answers some of the calls that came early, then lets other work go on. */
   private void answerEarly() {
-    for (int i = 0; i < EARLY_SLICE && !early.isEmpty(); i++) {
-      Early e = early.poll();
-      call(e.call())
-          .thenAccept(a -> shard.run(() -> shard.afterwards(() -> e.answer().complete(a))));
-    }
-    if (!early.isEmpty()) {
+    boolean more =
+        early.takeSome(
+            (c, answer) ->
+                call(c)
+                    .thenAccept(a -> shard.run(() -> shard.afterwards(() -> answer.complete(a)))));
+    if (more) {
       context.later(shard, PASS_MILLIS, this::answerEarly);
     }
   }
