Pass over an answer of a runner that names no life

An answer without its birth would count as another life and end all runs there since answers with an earlier birth are believed; none was seen.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -237,9 +237,9 @@
   }
 
   private void report(RunnerReport r, long sent) {
-    if (r.born() < born && sent <= bornMillis) {
-      // An answer of an earlier life that was overtaken. To a later call only the present life
-      // answers, whose wall clock may have been set back.
+    if (r.born() < born && (r.born() == 0 || sent <= bornMillis)) {
+      // An answer of an earlier life that was overtaken, or one that names no life. To a later call
+      // only the present life answers, whose wall clock may have been set back.
       wake();
       return;
     }
