--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -165,6 +165,7 @@
       return;
     }
     offerMillis = context.nowMillis() + OFFER_MILLIS;
+    // Only a change of the key counts, so neither an answer nor a failure is waited for.
     ClaimCall call = new ClaimCall(ownRevision);
     shard.afterwards(() -> context.peers().request(to.get(), call, OFFER_TIMEOUT_MILLIS));
     context.report(DispatchTopic.OWNER_OFFERED, "to", to.get().id().value(), "token", ownRevision);
@@ -263,6 +264,7 @@
       return;
     }
     askedMillis = now;
+    // A peer that does not answer tells nothing; the next call goes to another one.
     MemberCall call = self();
     members
         .nextPeer()
