--- a/core/src/main/java/dev/dandelionport/core/dispatch/HistoryReader.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/HistoryReader.java
@@ -1,6 +1,7 @@
 package dev.dandelionport.core.dispatch;
 
 import dev.dandelionport.core.port.SharedStore;
+import dev.dandelionport.core.port.SharedStore.Condition;
 import dev.dandelionport.core.port.SharedStore.Entry;
 import dev.dandelionport.core.workflow.WorkflowCodec;
 import dev.dandelionport.core.workflow.WorkflowRecord;
@@ -23,7 +24,9 @@
    * @param firstBatch number of the oldest batch in the store
    * @param parts keys of the snapshot
    * @param headRevision revision of the key that names the snapshot
-   * @param obsolete keys that nothing refers to any more
+   * @param leftovers batches that do not count and whose numbers will be used again, with their
+   *     revisions, in the order of their numbers
+   * @param obsolete keys that nothing refers to any more and that are never used again
    */
   record History(
       List<WorkflowRecord> records,
@@ -31,6 +34,7 @@
       long firstBatch,
       List<String> parts,
       long headRevision,
+      List<Condition> leftovers,
       List<String> obsolete) {}
 
   private HistoryReader() {}
@@ -47,7 +51,8 @@
     SnapshotHead h = head == null ? new SnapshotHead(0, 0) : SnapshotHead.decode(head.value());
     final List<WorkflowRecord> records = new ArrayList<>();
     final List<String> parts = new ArrayList<>();
-    List<String> obsolete = new ArrayList<>();
+    final List<Condition> leftovers = new ArrayList<>();
+    final List<String> obsolete = new ArrayList<>();
     for (int i = 0; i < h.parts(); i++) {
       Entry e = all.get(StoreKeys.part(h.number(), i));
       if (e == null) {
@@ -65,7 +70,7 @@
         hole |= number != next;
         if (hole) {
           // Nothing that waited for this batch was done, because an earlier one was not stored.
-          obsolete.add(0, e.key());
+          leftovers.add(new Condition(e.key(), e.revision()));
           continue;
         }
         records.addAll(WorkflowCodec.decode(e.value()));
@@ -75,6 +80,6 @@
       }
     }
     long headRevision = head == null ? SharedStore.ABSENT : head.revision();
-    return new History(records, next, h.number() + 1, parts, headRevision, obsolete);
+    return new History(records, next, h.number() + 1, parts, headRevision, leftovers, obsolete);
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
@@ -50,7 +50,7 @@
   /** Age of a batch from which it is reported as slow, in milliseconds. */
   private static final long SLOW_MILLIS = 500;
 
-  /** Two conditions and one write leave this many deletions in a batch's transaction. */
+  /** Two conditions and one write leave this much of a batch's transaction for deletions. */
   private static final int DELETES = SharedStore.MAX_TRANSACTION - 3;
 
   private static final class Batch {
@@ -71,6 +71,7 @@
   private final Shard shard;
   private final long ownerRevision;
   private final Runnable fenced;
+  private final Deque<Condition> leftovers = new ArrayDeque<>();
   private final Deque<String> obsolete = new ArrayDeque<>();
   private final Deque<Batch> inFlight = new ArrayDeque<>();
   private List<WorkflowRecord> records = new ArrayList<>();
@@ -113,6 +114,7 @@
     this.firstBatch = history.firstBatch();
     this.batchesSinceSnapshot = next - firstBatch;
     this.lastParts = new ArrayList<>(history.parts());
+    this.leftovers.addAll(history.leftovers());
     this.obsolete.addAll(history.obsolete());
     this.headRevision = history.headRevision();
     this.fenced = fenced;
@@ -152,7 +154,7 @@
 
   private void writeSoon() {
     // Leftovers of a former owner must be deleted before their numbers are used again.
-    int most = first ? 1 : MAX_IN_FLIGHT;
+    int most = first || !leftovers.isEmpty() ? 1 : MAX_IN_FLIGHT;
     if (scheduled || stopped || records.isEmpty() || inFlight.size() >= most) {
       return;
     }
@@ -184,19 +186,23 @@
 
   private void write() {
     lastWriteMillis = context.nowMillis();
-    byte[] bytes = WorkflowCodec.encode(records);
+    final byte[] bytes = WorkflowCodec.encode(records);
+    String key = StoreKeys.batch(next++);
+    List<Condition> conditions = new ArrayList<>();
+    conditions.add(new Condition(StoreKeys.OWNER, ownerRevision));
+    conditions.add(new Condition(key, SharedStore.ABSENT));
     List<String> deletes = new ArrayList<>();
-    while (!obsolete.isEmpty() && deletes.size() < DELETES) {
+    // A try without an answer may be carried out late, when a snapshot has replaced this batch: it
+    // must not delete a batch that has the number of a leftover by then.
+    while (!leftovers.isEmpty() && 2 * deletes.size() + 2 <= DELETES) {
+      conditions.add(leftovers.peek());
+      deletes.add(leftovers.poll().key());
+    }
+    while (!obsolete.isEmpty() && deletes.size() + conditions.size() - 2 < DELETES) {
       deletes.add(obsolete.poll());
     }
-    String key = StoreKeys.batch(next++);
     Transaction t =
-        new Transaction(
-            List.of(
-                new Condition(StoreKeys.OWNER, ownerRevision),
-                new Condition(key, SharedStore.ABSENT)),
-            List.of(new Write(key, bytes, SharedStore.NO_LEASE)),
-            deletes);
+        new Transaction(conditions, List.of(new Write(key, bytes, SharedStore.NO_LEASE)), deletes);
     Batch b = new Batch(t, key, waiting);
     records = new ArrayList<>();
     waiting = new ArrayList<>();
--- a/core/src/test/java/dev/dandelionport/core/dispatch/FakeSharedStore.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeSharedStore.java
@@ -26,6 +26,7 @@
   private final List<SharedStore.Change> history = new ArrayList<>();
   private final Map<Long, Long> leaseEnds = new HashMap<>();
   private final Map<Long, Long> leaseLengths = new HashMap<>();
+  private final Map<String, SharedStore.Transaction> committed = new HashMap<>();
   final Set<String> refused = new HashSet<>();
   double lostPart;
   private long revision = 1;
@@ -50,6 +51,11 @@
     compacted = revision;
   }
 
+  /** Returns the transaction that has written a key. */
+  SharedStore.Transaction committed(String key) {
+    return committed.get(key);
+  }
+
   Set<String> keys() {
     return entries.keySet();
   }
@@ -103,6 +109,7 @@
       }
     }
     revision++;
+    t.writes().forEach(w -> committed.put(w.key(), t));
     t.writes().forEach(w -> write(w.key(), w.value(), w.lease(), revision));
     t.deletes().forEach(k -> delete(k, revision));
     return new SharedStore.Committed(revision);
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowJournalTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowJournalTest.java
@@ -190,6 +190,36 @@
     assertThat(fenced).isEmpty();
   }
 
+  // The first try of a new owner's first batch had no answer and was carried out seconds later,
+  // when a snapshot had replaced the batch: it deleted batches that had the numbers of a former
+  // owner's leftovers, and everything behind them was lost (random faults).
+  @Test
+  void lateFirstBatchDeletesNoBatchThatHasTheNumberOfLeftover() {
+    WorkflowJournal former = journal(claim());
+    long number = 0;
+    while (!shard.call(former::wantsSnapshot)) {
+      append(former, (int) ++number);
+      time.runFor(30);
+    }
+    long owner = claim();
+    put(StoreKeys.batch(number + 2), 7);
+    put(StoreKeys.batch(number + 3), 8);
+    WorkflowJournal next = journal(owner);
+    append(next, 10_000);
+    time.runFor(30);
+    snapshotIfWanted(next, 5_000);
+    time.runFor(30);
+    for (int i = 1; i < 40; i++) {
+      append(next, 10_000 + i);
+      time.runFor(30);
+    }
+    String first = StoreKeys.batch(number + 1);
+    assertThat(store.keys()).doesNotContain(first);
+    // Carries out a try that was held up.
+    await(view.commit(store.committed(first)));
+    assertThat(stored()).startsWith(5_000L).hasSize(40).endsWith(10_039L);
+  }
+
   private void snapshotIfWanted(WorkflowJournal j, int number) {
     shard.run(
         () -> {
