--- a/core/src/test/java/dev/dandelionport/core/workflow/WatchdogTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WatchdogTest.java
@@ -89,13 +89,7 @@
   // of it, it was never probed, and the gang never started.
   @Test
   void heldRunnerThatNothingProbesGetsWorkAgain() {
-    cell.draining.add("r2");
-    cell.runners();
-    for (int i = 0; i < 4; i++) {
-      cell.submit("bad" + i, "batch", WorkflowFixture.step(1, 100));
-      cell.started(StartResult.PRESENT).forEach(s -> cell.end(s, RunEnd.FAILED, ""));
-      cell.scheduler.cancel("bad" + i);
-    }
+    cell.holdOnlyRunner();
     cell.submit("gang", "batch", WorkflowFixture.gang(3, 100));
     assertThat(cell.starts()).isEmpty();
     cell.now += 15_000;
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
@@ -68,6 +68,17 @@
     place();
   }
 
+  /** Leaves one runner and lets runs on it fail until it is held back. */
+  void holdOnlyRunner() {
+    draining.add("r2");
+    runners();
+    for (int i = 0; i < 4; i++) {
+      submit("bad" + i, "batch", step(1, 100));
+      started(StartResult.PRESENT).forEach(s -> end(s, RunEnd.FAILED, ""));
+      scheduler.cancel("bad" + i);
+    }
+  }
+
   /** Lets the scheduler place, and takes what it decided. */
   void place() {
     tell();
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowSchedulerTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowSchedulerTest.java
@@ -257,13 +257,7 @@
       value = RunEnd.class,
       names = {"STOPPED", "LAPSED", "LOST", "NEVER_STARTED", "BROKEN", "ALONE"})
   void heldRunnerIsProbedAgainHoweverItsProbeEnded(RunEnd how) {
-    cell.draining.add("r2");
-    cell.runners();
-    for (int i = 0; i < 4; i++) {
-      cell.submit("bad" + i, "batch", WorkflowFixture.step(1, 100));
-      cell.started(StartResult.PRESENT).forEach(s -> cell.end(s, RunEnd.FAILED, ""));
-      cell.scheduler.cancel("bad" + i);
-    }
+    cell.holdOnlyRunner();
     cell.submit("w", "batch", WorkflowFixture.step(1, 100));
     assertThat(cell.starts()).isEmpty();
     cell.now += 10_000;
@@ -280,13 +274,7 @@
   // of one as a probe.
   @Test
   void heldRunnerGetsOneTaskOfStepAsProbe() {
-    cell.draining.add("r2");
-    cell.runners();
-    for (int i = 0; i < 4; i++) {
-      cell.submit("bad" + i, "batch", WorkflowFixture.step(1, 100));
-      cell.started(StartResult.PRESENT).forEach(s -> cell.end(s, RunEnd.FAILED, ""));
-      cell.scheduler.cancel("bad" + i);
-    }
+    cell.holdOnlyRunner();
     cell.submit("w", "batch", WorkflowFixture.step(6, 100));
     assertThat(cell.starts()).isEmpty();
     cell.now += 10_000;
