Try a task less often whose starts are refused in a row

What was seen in virtual time: a task that one runner may run, and that the runner refuses for want of room, was intended and sent again in each pass: 400 times in 2 s. Each rejected start has a price, a record and a call, and the runner's place in the queue of orders.

Cause: a refused start ends the run as never started, and only a failed run made its task wait. The rating of runners does not see refusals for want of room, for lateness or for an old run number.

Change: the first refusal is followed by another try at once, as before, so that the task goes elsewhere; after the second the task waits 20 ms, then twice as long each time up to 1.3 s, until a runner takes it.

--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerReports.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerReports.java
@@ -109,6 +109,7 @@
   void confirm(Run run) {
     if (run.phase != Phase.PRESENT) {
       run.phase = Phase.PRESENT;
+      run.task.refused = 0;
       runs.began(run.task.step.workflow);
       run.confirmedMillis = cell.now;
       run.sentMillis = run.sentMillis == 0 ? cell.now : run.sentMillis;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Starts.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Starts.java
@@ -9,6 +9,11 @@
 /** Makes the orders of intended runs whose records are durable, and takes over the answers. */
 final class Starts {
 
+  /** Wait after the second refusal in a row of a task's start, in milliseconds; then doubled. */
+  private static final long RETRY_MILLIS = 20;
+
+  private static final int MAX_DOUBLINGS = 6;
+
   private final Cell cell;
   private final Runs runs;
   private final RunnerReports reports;
@@ -74,5 +79,14 @@
       r.runner.health.failed(cell.now, r.probe);
     }
     runs.end(r, RunEnd.NEVER_STARTED, "");
+    backOff(r.task);
+  }
+
+  /** Lets a task wait whose starts are refused in a row; after the first it tries elsewhere. */
+  private void backOff(Task t) {
+    if (t.refused > 0) {
+      t.retryMillis = cell.now + (RETRY_MILLIS << Math.min(MAX_DOUBLINGS, t.refused - 1));
+    }
+    t.refused++;
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Task.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Task.java
@@ -24,6 +24,9 @@
   /** When the task may be tried again, on the owner's steady clock. */
   long retryMillis;
 
+  /** How often starts of it were refused since a runner last took one. */
+  int refused;
+
   /** Runner on which the latest run failed; null if none did. */
   String failedOn;
 
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowSchedulerTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowSchedulerTest.java
@@ -270,6 +270,25 @@
     assertThat(cell.starts()).hasSize(1);
   }
 
+  // A task with one possible runner was sent there in every pass while the runner refused it; each
+  // rejected start has a price.
+  @Test
+  void startThatIsRefusedAgainAndAgainIsTriedLessOften() {
+    cell.draining.add("r2");
+    cell.runners();
+    cell.submit("w", "batch", WorkflowFixture.step(1, 100));
+    int refused = 0;
+    for (int i = 0; i < 400; i++) {
+      refused += cell.started(StartResult.NO_ROOM).size();
+      cell.now += 5;
+      cell.place();
+    }
+    assertThat(refused).isBetween(2, 12);
+    cell.now += 2_000;
+    cell.place();
+    assertThat(cell.started(StartResult.PRESENT)).hasSize(1);
+  }
+
   // A step with several tasks put all of them on a runner that was held back for failing, instead
   // of one as a probe.
   @Test
