Let leases of the stand-in store end in the order of their numbers

Map.copyOf iterates in another order in each virtual machine, so two leases that ended together gave other revisions and a seed of the random faults did not always repeat.

--- a/core/src/test/java/dev/dandelionport/core/dispatch/FakeSharedStore.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeSharedStore.java
@@ -73,7 +73,7 @@
   }
 
   private void expire() {
-    for (Map.Entry<Long, Long> l : Map.copyOf(leaseEnds).entrySet()) {
+    for (Map.Entry<Long, Long> l : new TreeMap<>(leaseEnds).entrySet()) {
       if (l.getValue() <= time.nowMillis()) {
         endLease(l.getKey());
       }
