Answer the callers of an owner that ends in the order of their calls

What was seen: a seed of the random faults that failed once passed when it was played again, so a rare TWICE could not be traced.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/CallerDesk.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/CallerDesk.java
@@ -11,7 +11,7 @@
 import dev.dandelionport.core.workflow.WorkflowScheduler;
 import dev.dandelionport.core.workflow.WorkflowSpec;
 import dev.dandelionport.core.workflow.WorkflowState;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -28,7 +28,10 @@
 
   private final WorkflowScheduler scheduler;
   private final Surroundings surroundings;
-  private final Set<CompletableFuture<WorkflowAnswer>> waiting = new HashSet<>();
+
+  /** Answers that are not durable yet, in the order of their calls. */
+  private final Set<CompletableFuture<WorkflowAnswer>> waiting = new LinkedHashSet<>();
+
   private WorkflowJournal journal;
 
   CallerDesk(WorkflowScheduler scheduler, Surroundings surroundings) {
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -301,6 +301,16 @@
     assertThat(c.offersMillis).filteredOn(t -> t > c.time.nowMillis() - 50_000).isEmpty();
   }
 
+  // An owner that ended answered its callers in the order of hash codes, and no seed repeated.
+  @Test
+  void seedOfRandomFaultsRepeats() {
+    WorkflowCluster first = new WorkflowCluster(721, 4);
+    promisesHold(first, 721);
+    WorkflowCluster second = new WorkflowCluster(721, 4);
+    promisesHold(second, 721);
+    assertThat(second.reports).isEqualTo(first.reports);
+  }
+
   private static void promisesHold(WorkflowCluster c, long seed) {
     c.time.runFor(2_000);
     Random random = new Random(seed);
