Keep the lease of an owner on a weak machine, and read its history

Ruled out: placement passes (0.4 to 25 ms on average) and the shard's timers (lag 7 to 100 ms on average). The decision log also showed a task run again although its run had been completed: the owner had given the run up at the end of its leases and ignored the report. Change: the store client has an event loop of its own. First calls to runners are limited and the limit follows the rate of answers; runners with runs to settle come first. A run that a runner reports as done completes its task also after it was given up, and a run in its place is stopped. The expiry of leases is handled once, not at each tick (DP5008 was logged hundreds of times).

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -66,6 +66,9 @@
      */
     boolean mayStart();
 
+    /** Returns the limiter of first calls to runners. */
+    ContactLimiter contacts();
+
     /** Called when the runner rejects the fencing token because it has received a newer one. */
     void onFenced();
 
@@ -85,6 +88,10 @@
   private boolean clockKnown;
   private boolean answered;
   private boolean holdPending;
+
+  /** Whether the pending hold call is counted by the owner's limiter of first calls. */
+  private boolean contacting;
+
   private boolean statusCallPending;
   private boolean unresponsiveReported;
   private long incarnation;
@@ -105,6 +112,7 @@
   private boolean endsNotDurable;
 
   private final RunnerOrders orders;
+  private final ContactLimiter.Contact contact = this::callIfNeeded;
   private long nextCallMillis;
   private long lastReportMillis;
   private long lastSentMillis;
@@ -113,6 +121,9 @@
   /** Time by which all leases on the runner have expired, on the monotonic clock. */
   private long leasesExpireMillis;
 
+  /** Value of {@link #leasesExpireMillis} after which all runs with a lease were ended. */
+  private long handledExpiryMillis = Long.MIN_VALUE;
+
   RunnerLink(
       DispatchContext context,
       Shard shard,
@@ -166,7 +177,12 @@
     }
     orders.sendWaiting();
     long now = context.nowMillis();
-    if (now > leasesExpireMillis && failures > 0 && owner.scheduler().hasRuns(runnerId())) {
+    if (now > leasesExpireMillis
+        && leasesExpireMillis != handledExpiryMillis
+        && failures > 0
+        && owner.scheduler().hasRuns(runnerId())) {
+      // Starts that are still queued have no lease; they are rejected or extend the leases again.
+      handledExpiryMillis = leasesExpireMillis;
       context.report(DispatchTopic.RUNNER_LEASES_EXPIRED, "runner", runnerId());
       owner.scheduler().expireLeases(runnerId());
       owner.applyDecisions();
@@ -200,6 +216,12 @@
     if (endsNotDurable && now - lastSentMillis < MAX_ACK_WAIT_MILLIS) {
       return;
     }
+    if (!answered) {
+      if (!owner.contacts().tryAcquire(contact, hasRuns)) {
+        return;
+      }
+      contacting = true;
+    }
     holdPending = true;
     boolean mayWait = !stateUnknown && failures == 0 && !endsNotDurable && !awaitsReport;
     sendHold(mayWait && (!ackPending || isIncarnationConfirmed()) ? HOLD_WAIT_MILLIS : 0, false);
@@ -253,6 +275,10 @@
     if (owner.isClosed()) {
       return;
     }
+    if (contacting && !statusOnly) {
+      contacting = false;
+      owner.contacts().release(context.nowMillis() - sentMillis, e == null);
+    }
     if (e != null) {
       callFailed();
       return;
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -67,6 +67,7 @@
   private final ClientRequestHandler requestHandler;
   private final OwnerLoad load;
   private final Map<String, RunnerLink> links = new HashMap<>();
+  private final ContactLimiter contacts = new ContactLimiter();
   private final RecoveryCallQueue queuedCalls = new RecoveryCallQueue();
   private final long formerLeasesExpireMillis;
   private final long claimedMillis;
@@ -342,6 +343,11 @@
     return leaseValid.getAsBoolean();
   }
 
+  @Override
+  public ContactLimiter contacts() {
+    return contacts;
+  }
+
   @Override
   public void onFenced() {
     if (!closed) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunLifecycle.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunLifecycle.java
@@ -117,6 +117,26 @@
     advanceWorkflow(t);
   }
 
+  /**
+   * Marks a task as done that a run has completed although the run was ended as lost. A later run
+   * of the task is stopped, because its work would be done twice.
+   */
+  void completeAfterLoss(TaskKey key, int number, String checkpoint) {
+    Task t = cell.task(key);
+    if (t == null || t.done || t.step.spec.longRunning() || number > t.lastRun) {
+      return;
+    }
+    cell.log(Topic.ENDED, "task", key.toString(), "run", number, "how", "DONE_AFTER_LOSS");
+    cell.addRecord(new Ended(key, number, RunEnd.DONE, checkpoint));
+    applyEnd(t, number, RunEnd.DONE, checkpoint);
+    for (Task x : t.step.spec.gang() ? t.step.tasks : List.of(t)) {
+      if (x.run != null) {
+        stop(x.run, Stop.COPY);
+      }
+    }
+    advanceWorkflow(t);
+  }
+
   private void updateHealth(Run r, RunEnd outcome) {
     RunnerHealth h = r.runner.health;
     Task t = r.task;
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
@@ -88,6 +88,9 @@
     Run run = r.findRun(e.task(), e.run());
     if (run != null) {
       runs.end(run, e.outcome(), e.checkpoint());
+    } else if (e.outcome() == RunEnd.DONE) {
+      // The run was given up while the runner was silent, but had completed before its lease ended.
+      runs.completeAfterLoss(e.task(), e.run(), e.checkpoint());
     }
   }
 
--- a/node/src/main/java/dev/dandelionport/node/connection/HttpPool.java
+++ b/node/src/main/java/dev/dandelionport/node/connection/HttpPool.java
@@ -2,14 +2,22 @@
 
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.ClientFactoryBuilder;
+import com.linecorp.armeria.client.ClientRequestContext;
+import com.linecorp.armeria.client.ClientRequestContextCaptor;
+import com.linecorp.armeria.client.Clients;
 import com.linecorp.armeria.client.ResponseTimeoutException;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.client.WebClientRequestPreparation;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.CommonPools;
 import com.linecorp.armeria.common.Flags;
 import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpObject;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.util.TimeoutMode;
 import com.linecorp.armeria.common.util.TransportType;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.ssl.SslContextBuilder;
 import java.io.IOException;
@@ -20,6 +28,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import jdk.net.ExtendedSocketOptions;
+import org.reactivestreams.Publisher;
 
 /**
  * Pooled HTTP/1.1 connections to a service of the platform. With HTTP/1.1, a request that times out
@@ -66,6 +75,7 @@
   private final long maxAnswerBytes;
   private final boolean replaceAllOnTimeout;
   private final TlsFiles tls;
+  private final EventLoopGroup eventLoops;
   private final AtomicLong lastTlsCheckNanos = new AtomicLong(System.nanoTime());
   private long lastReplacedNanos = System.nanoTime();
   private volatile Generation current;
@@ -79,10 +89,24 @@
    * @param tls TLS files; null for the certificate authorities that the JVM trusts
    */
   public HttpPool(String url, long maxAnswerBytes, boolean replaceAllOnTimeout, TlsFiles tls) {
+    this(url, maxAnswerBytes, replaceAllOnTimeout, tls, CommonPools.workerGroup());
+  }
+
+  /**
+   * Creates a pool whose connections use {@code eventLoops} only, so that its calls do not wait
+   * behind those of other pools. The caller closes the event loops.
+   */
+  public HttpPool(
+      String url,
+      long maxAnswerBytes,
+      boolean replaceAllOnTimeout,
+      TlsFiles tls,
+      EventLoopGroup eventLoops) {
     this.url = url;
     this.maxAnswerBytes = maxAnswerBytes;
     this.replaceAllOnTimeout = replaceAllOnTimeout;
     this.tls = tls;
+    this.eventLoops = eventLoops;
     try {
       this.current = createGeneration();
     } catch (IOException | RuntimeException e) {
@@ -98,6 +122,7 @@
   private Generation createGeneration() throws IOException {
     ClientFactoryBuilder fb =
         ClientFactory.builder()
+            .workerGroup(eventLoops, false)
             .connectTimeoutMillis(CONNECT_MILLIS)
             .idleTimeoutMillis(IDLE_MILLIS)
             .channelOption(ChannelOption.SO_KEEPALIVE, true)
@@ -149,11 +174,36 @@
   public CompletableFuture<AggregatedHttpResponse> send(
       Function<WebClient, WebClientRequestPreparation> request, long timeoutMillis) {
     WebClient used = client();
+    return aggregate(used, request.apply(used).responseTimeoutMillis(timeoutMillis).execute());
+  }
+
+  /**
+   * Sends a request whose response may be large for the link and returns the complete response.
+   *
+   * @param request method, path and content
+   * @param idleTimeoutMillis longest time without any part of the response
+   */
+  public CompletableFuture<AggregatedHttpResponse> sendForLargeResponse(
+      Function<WebClient, WebClientRequestPreparation> request, long idleTimeoutMillis) {
+    WebClient used = client();
+    try (ClientRequestContextCaptor captor = Clients.newContextCaptor()) {
+      HttpResponse response =
+          request.apply(used).responseTimeoutMillis(idleTimeoutMillis).execute();
+      ClientRequestContext context = captor.get();
+      HttpResponse extending =
+          response.peekData(
+              d -> context.setResponseTimeoutMillis(TimeoutMode.SET_FROM_NOW, idleTimeoutMillis));
+      // The library aggregates a filtered response first and filters it at the end; a plain
+      // publisher gets each part as it arrives.
+      Publisher<HttpObject> parts = extending::subscribe;
+      return aggregate(used, HttpResponse.of(parts));
+    }
+  }
+
+  private CompletableFuture<AggregatedHttpResponse> aggregate(
+      WebClient used, HttpResponse response) {
     CompletableFuture<AggregatedHttpResponse> answer = new CompletableFuture<>();
-    request
-        .apply(used)
-        .responseTimeoutMillis(timeoutMillis)
-        .execute()
+    response
         .aggregate()
         .whenComplete(
             (r, e) -> {
