Ignore odd entries of other writers, and keep loops running after an unexpected error

An entry with port 99999, -1 or none, with a capacity of 1e400, below 0 or beyond 64 bits was taken for a runner; its address made each call to it throw, and its capacity overflowed sums. An unexpected exception of a decoder or listener ended the watch that received it, silently, and one in the owner's tick or in a renewal ended that loop.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClusterView.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClusterView.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 /**
  * The owner's view of the cluster, read from the store: configuration, closed failure domains and
@@ -115,9 +116,9 @@
   private void operatorEntriesChanged() {
     Set<String> closed = new HashSet<>();
     for (Entry e : operatorWatch.entries()) {
-      context.storeSchema().decodeClosedDomain(e).ifPresent(closed::add);
+      decode(e, context.storeSchema()::decodeClosedDomain).ifPresent(closed::add);
       if (e.revision() > policyRevision) {
-        Optional<ClusterPolicy> p = context.storeSchema().decodePolicy(e);
+        Optional<ClusterPolicy> p = decode(e, context.storeSchema()::decodePolicy);
         if (p.isPresent() && p.get().version() > policy.version()) {
           policy = p.get();
           policyRevision = e.revision();
@@ -159,8 +160,22 @@
     listener.run();
   }
 
+  /**
+   * Decodes an entry; empty if that fails. An entry that a decoder does not expect must not keep
+   * the other entries from being used.
+   */
+  private <T> Optional<T> decode(Entry e, Function<Entry, Optional<T>> decoder) {
+    try {
+      return decoder.apply(e);
+    } catch (RuntimeException x) {
+      context.report(
+          DispatchTopic.ENTRY_IGNORED, "key", e.key(), "revision", e.revision(), "error", "" + x);
+      return Optional.empty();
+    }
+  }
+
   private void decodeRunner(Entry e) {
-    Optional<RunnerDescription> d = context.storeSchema().decodeRunner(e);
+    Optional<RunnerDescription> d = decode(e, context.storeSchema()::decodeRunner);
     if (d.isPresent()) {
       runnersByKey.put(e.key(), d.get());
       unreadableKeys.remove(e.key());
--- a/core/src/main/java/dev/dandelionport/core/dispatch/DispatchTopic.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchTopic.java
@@ -23,6 +23,8 @@
   BATCH_SLOW,
   SNAPSHOT_WRITTEN,
   REQUEST_REFUSED,
+  /** An action failed with an unexpected exception; what follows it goes on. */
+  ACTION_FAILED,
   /** A store entry cannot be decoded. */
   ENTRY_IGNORED,
   /** A decision of the scheduler; its fields describe which one. */
--- a/core/src/main/java/dev/dandelionport/core/dispatch/PrefixWatch.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/PrefixWatch.java
@@ -116,8 +116,7 @@
     listed = true;
     recordAnswer();
     confirmedMillis = sentMillis;
-    listener.run();
-    requestChanges();
+    notifyListener();
   }
 
   private void requestChanges() {
@@ -156,8 +155,20 @@
       }
     }
     revision = Math.max(revision, c.revision());
-    if (!c.changes().isEmpty()) {
+    if (c.changes().isEmpty()) {
+      requestChanges();
+    } else {
+      notifyListener();
+    }
+  }
+
+  /** Calls the listener, and continues to follow changes even if it fails. */
+  private void notifyListener() {
+    try {
       listener.run();
+    } catch (RuntimeException e) {
+      context.report(
+          DispatchTopic.ACTION_FAILED, "action", "changes of " + prefix, "error", e.toString());
     }
     requestChanges();
   }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -144,17 +144,20 @@
   }
 
   private void renew() {
-    shard.run(
-        () ->
-            election.renew(
-                sent -> {
-                  if (owner != null) {
-                    owner.leaseRenewed(sent);
-                  }
-                }));
-    shard.run(this::offerHandOver);
-    if (!shard.call(() -> stopping)) {
-      context.timer().schedule(HEARTBEAT_MILLIS / 3, this::renew);
+    try {
+      shard.run(
+          () ->
+              election.renew(
+                  sent -> {
+                    if (owner != null) {
+                      owner.leaseRenewed(sent);
+                    }
+                  }));
+      shard.run(this::offerHandOver);
+    } finally {
+      if (!shard.call(() -> stopping)) {
+        context.timer().schedule(HEARTBEAT_MILLIS / 3, this::renew);
+      }
     }
   }
 
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -210,6 +210,15 @@
     if (closed) {
       return;
     }
+    try {
+      runTick();
+    } finally {
+      load.tickScheduled(TICK_MILLIS);
+      context.schedule(shard, TICK_MILLIS, this::tick);
+    }
+  }
+
+  private void runTick() {
     updateClock();
     load.tickStarted();
     if (open) {
@@ -229,8 +238,6 @@
         journal.writeSnapshot(scheduler.snapshot());
       }
     }
-    load.tickScheduled(TICK_MILLIS);
-    context.schedule(shard, TICK_MILLIS, this::tick);
   }
 
   @Override
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -34,6 +34,9 @@
 
   private static final int RUNNERS = 6;
 
+  /** Runner whose entry makes the schema fail. */
+  static final String ODD_RUNNER = "odd";
+
   /** Default capacity of an instance, in thousandths of a core. */
   private static final long DEFAULT_CAPACITY = 1_500;
 
@@ -102,6 +105,9 @@
     @Override
     public Optional<RunnerDescription> decodeRunner(Entry e) {
       String id = e.key().substring("runners/".length());
+      if (id.equals(ODD_RUNNER)) {
+        throw new IllegalStateException("unexpected entry");
+      }
       return Optional.of(
           new RunnerDescription(
               id,
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -270,6 +270,24 @@
     assertThat(isCompleted(c, "w")).isTrue();
   }
 
+  // An entry that the decoder did not expect ended the watch, so no later change was followed.
+  @Test
+  void oddEntryDoesNotStopTheOwnerFromFollowingTheOthers() {
+    WorkflowCluster c = new WorkflowCluster(14, 2);
+    c.time.runFor(2_000);
+    c.store.put("runners/" + WorkflowCluster.ODD_RUNNER, "");
+    c.time.runFor(1_000);
+    for (int i = 0; i < 5; i++) {
+      c.store.remove("runners/r" + i);
+    }
+    c.time.runFor(2_000);
+    assertThat(await(c, c.submit(c.anyNode(), "w", step(2))).status()).isEqualTo(WorkflowStatus.OK);
+    c.time.runFor(100);
+    assertThat(c.runners.busyRunners()).containsExactly("r5");
+    c.time.runFor(2_000);
+    assertThat(isCompleted(c, "w")).isTrue();
+  }
+
   // An idle runner whose entry expired and returned was never polled again, and never got work.
   @Test
   void idleRunnerGetsWorkAgainAfterItsEntryReturns() {
--- a/node/src/main/java/dev/dandelionport/node/connection/HttpPool.java
+++ b/node/src/main/java/dev/dandelionport/node/connection/HttpPool.java
@@ -174,7 +174,12 @@
   public CompletableFuture<AggregatedHttpResponse> send(
       Function<WebClient, WebClientRequestPreparation> request, long timeoutMillis) {
     WebClient used = client();
-    return aggregate(used, request.apply(used).responseTimeoutMillis(timeoutMillis).execute());
+    try {
+      return aggregate(used, request.apply(used).responseTimeoutMillis(timeoutMillis).execute());
+    } catch (RuntimeException e) {
+      // A request that cannot be built, for example for a malformed address, fails like others.
+      return CompletableFuture.failedFuture(e);
+    }
   }
 
   /**
--- a/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
+++ b/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
@@ -23,6 +23,7 @@
       case HAND_OVER_OFFERED -> LogEvent.WORKFLOWS_OFFERED;
       case POLICY_IN_FORCE -> LogEvent.POLICY_IN_FORCE;
       case DOMAINS_CLOSED -> LogEvent.DOMAINS_CLOSED;
+      case ACTION_FAILED -> LogEvent.ACTION_FAILED;
       case STORE_CALL_FAILED -> LogEvent.STORE_CALL_FAILED;
       case STORE_OUTAGE_BEGAN -> LogEvent.STORE_OUTAGE_BEGAN;
       case STORE_OUTAGE_ENDED -> LogEvent.STORE_OUTAGE_ENDED;
