Limit calls to runners to what the owner's machine can handle

A pass during which the process did not run for 621 ms delayed the next one by 5 s. Change: one limiter for first calls and one for orders. The limit grows while answers take at most 100 ms and falls otherwise, with a floor by the machine's capacity; a call without an answer does not count while others answer fast. Passes place no more than twice as many tasks as orders may be in flight. The interval between passes is bounded at 400 ms.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLoad.java
@@ -15,6 +15,8 @@
   private final WorkflowScheduler scheduler;
   private final AdviceDispatcher adviceDispatcher;
   private final Collection<RunnerLink> links;
+  private final CallLimiter contacts;
+  private final CallLimiter orders;
   private final DurationStats passDurations = new DurationStats();
   private final DurationStats timerLags = new DurationStats();
   private long tickDueMillis = Long.MAX_VALUE;
@@ -57,11 +59,15 @@
       DispatchContext context,
       WorkflowScheduler scheduler,
       AdviceDispatcher adviceDispatcher,
-      Collection<RunnerLink> links) {
+      Collection<RunnerLink> links,
+      CallLimiter contacts,
+      CallLimiter orders) {
     this.context = context;
     this.scheduler = scheduler;
     this.adviceDispatcher = adviceDispatcher;
     this.links = links;
+    this.contacts = contacts;
+    this.orders = orders;
     this.periodStartMillis = context.nowMillis();
   }
 
@@ -122,6 +128,9 @@
       "journalOldestMillis", journal.oldestMillis(),
       "ordersWaiting", waiting,
       "ordersMost", maxWaiting,
+      "ordersLimit", orders.limit(),
+      "firstCallsLimit", contacts.limit(),
+      "firstCallsWaiting", contacts.waiting(),
       "holds", holds,
       "adviceBusy", advice.busy(),
       "adviceFree", advice.free(),
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -67,7 +67,10 @@
     boolean mayStart();
 
     /** Returns the limiter of first calls to runners. */
-    ContactLimiter contacts();
+    CallLimiter contacts();
+
+    /** Returns the limiter of start and stop orders to all runners. */
+    CallLimiter orders();
 
     /** Called when the runner rejects the fencing token because it has received a newer one. */
     void onFenced();
@@ -112,7 +115,7 @@
   private boolean endsNotDurable;
 
   private final RunnerOrders orders;
-  private final ContactLimiter.Contact contact = this::callIfNeeded;
+  private final CallLimiter.Sender contact = this::callIfNeeded;
   private long nextCallMillis;
   private long lastReportMillis;
   private long lastSentMillis;
@@ -137,7 +140,8 @@
     this.token = token;
     this.address = address;
     this.leasesExpireMillis = leasesExpireMillis;
-    this.orders = new RunnerOrders(this::sendStop, this::sendStart, owner::mayStart);
+    this.orders =
+        new RunnerOrders(owner.orders(), this::sendStop, this::sendStart, owner::mayStart);
   }
 
   /** Sets the address of the runner; its host and port are empty if they are not known. */
@@ -217,9 +221,10 @@
       return;
     }
     if (!answered) {
-      if (!owner.contacts().tryAcquire(contact, hasRuns)) {
+      if (!owner.contacts().admits(contact, hasRuns)) {
         return;
       }
+      owner.contacts().sent();
       contacting = true;
     }
     holdPending = true;
@@ -277,7 +282,7 @@
     }
     if (contacting && !statusOnly) {
       contacting = false;
-      owner.contacts().release(context.nowMillis() - sentMillis, e == null);
+      owner.contacts().completed(sentMillis, context.nowMillis(), e == null);
     }
     if (e != null) {
       callFailed();
@@ -385,19 +390,21 @@
       handleStartResult(order.get(), StartResult.UNHEALTHY, RunnerClient.NO_TIME);
       return false;
     }
-    long leaseUntil = extendLeases(context.nowMillis());
+    final long sentMillis = context.nowMillis();
+    long leaseUntil = extendLeases(sentMillis);
     Address to = address;
     shard.runAfterUnlock(
         () ->
             context
                 .runners()
                 .start(to, order.get(), leaseUntil, token, START_TIMEOUT_MILLIS)
-                .whenComplete((a, e) -> shard.run(() -> startCompleted(order.get(), a, e))));
+                .whenComplete(
+                    (a, e) -> shard.run(() -> startCompleted(order.get(), a, e, sentMillis))));
     return true;
   }
 
-  private void startCompleted(StartOrder order, StartAnswer a, Throwable e) {
-    orders.orderCompleted();
+  private void startCompleted(StartOrder order, StartAnswer a, Throwable e, long sentMillis) {
+    orders.orderCompleted(sentMillis, context.nowMillis(), e == null);
     if (e != null) {
       handleStartResult(order, StartResult.UNKNOWN, RunnerClient.NO_TIME);
     } else {
@@ -427,17 +434,19 @@
   }
 
   private void sendStop(TaskKey task, int run) {
+    final long sentMillis = context.nowMillis();
     Address to = address;
     shard.runAfterUnlock(
         () ->
             context
                 .runners()
                 .stop(to, task, run, token, CALL_TIMEOUT_MILLIS)
-                .whenComplete((ok, e) -> shard.run(() -> stopCompleted(task, run, ok, e))));
+                .whenComplete(
+                    (ok, e) -> shard.run(() -> stopCompleted(task, run, ok, e, sentMillis))));
   }
 
-  private void stopCompleted(TaskKey task, int run, Boolean ok, Throwable e) {
-    orders.orderCompleted();
+  private void stopCompleted(TaskKey task, int run, Boolean ok, Throwable e, long sentMillis) {
+    orders.orderCompleted(sentMillis, context.nowMillis(), e == null);
     if (e != null || owner.isClosed()) {
       // The scheduler repeats the stop until the run is known to have ended.
       return;
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerOrders.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerOrders.java
@@ -37,6 +37,8 @@
   /** Identifies a run of a task. */
   private record RunKey(TaskKey task, int run) {}
 
+  private final CallLimiter limiter;
+  private final CallLimiter.Sender turn = this::sendWaiting;
   private final StopSender stopSender;
   private final StartSender startSender;
   private final BooleanSupplier mayStart;
@@ -49,8 +51,17 @@
 
   private int inFlight;
 
-  /** Creates an empty queue; starts wait for as long as {@code mayStart} returns false. */
-  RunnerOrders(StopSender stopSender, StartSender startSender, BooleanSupplier mayStart) {
+  /**
+   * Creates an empty queue; starts wait for as long as {@code mayStart} returns false.
+   *
+   * @param limiter limits the orders to all runners
+   */
+  RunnerOrders(
+      CallLimiter limiter,
+      StopSender stopSender,
+      StartSender startSender,
+      BooleanSupplier mayStart) {
+    this.limiter = limiter;
     this.stopSender = stopSender;
     this.startSender = startSender;
     this.mayStart = mayStart;
@@ -74,8 +85,9 @@
   }
 
   /** Records that an order in flight was answered or has failed, and sends the next ones. */
-  void orderCompleted() {
+  void orderCompleted(long sentMillis, long nowMillis, boolean answered) {
     inFlight--;
+    limiter.completed(sentMillis, nowMillis, answered);
     sendWaiting();
   }
 
@@ -99,15 +111,16 @@
   /** Sends waiting orders up to the limit of orders in flight. */
   void sendWaiting() {
     while (inFlight < MAX_IN_FLIGHT && waiting() > 0) {
+      if (stops.isEmpty() && !mayStart.getAsBoolean() || !limiter.admits(turn, !stops.isEmpty())) {
+        return;
+      }
       if (stops.isEmpty()) {
-        if (!mayStart.getAsBoolean()) {
-          return;
-        }
         sendNextStart();
       } else {
         RunKey first = stops.iterator().next();
         stops.remove(first);
         inFlight++;
+        limiter.sent();
         stopSender.send(first.task(), first.run());
       }
     }
@@ -117,6 +130,7 @@
     RunKey first = starts.poll();
     if (startSender.send(first.task(), first.run())) {
       inFlight++;
+      limiter.sent();
     }
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -17,7 +17,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -29,14 +28,20 @@
   /** Interval of checks that are not triggered by a message, in milliseconds. */
   private static final long TICK_MILLIS = 50;
 
-  /** Shortest time between two placement passes, in milliseconds. */
-  private static final long PASS_INTERVAL_MILLIS = 4;
+  /** Smallest number of first calls to runners, or of orders, that may always be in flight. */
+  private static final int MIN_CALLS = 4;
 
   /**
-   * Multiple of a pass's duration after which the next pass may start; bounds the share of time
-   * spent in passes.
+   * Capacity of a machine, in thousandths of a core, for each call that may always be in flight. A
+   * new process handles about 170 first calls a second on a core, and each may take 400 ms.
    */
-  private static final long PASS_INTERVAL_FACTOR = 8;
+  private static final long CAPACITY_PER_CALL = 30;
+
+  /** Number of orders in flight that a new owner starts with. */
+  private static final int INITIAL_ORDERS = 64;
+
+  /** Orders that may wait to be sent, as a multiple of those that may be in flight. */
+  private static final int ORDERS_AHEAD = 2;
 
   /** Interval at which workflows that ended long ago are removed, in milliseconds. */
   private static final long PURGE_INTERVAL_MILLIS = 5_000;
@@ -50,6 +55,9 @@
    */
   private static final long QUEUED_CALLS_DELAY_MILLIS = 30;
 
+  /** Time between two batches of queued calls, in milliseconds. */
+  private static final long QUEUED_BATCH_MILLIS = 4;
+
   /**
    * Maximum age of the store's latest answer at which the store counts as available, in
    * milliseconds.
@@ -67,7 +75,9 @@
   private final ClientRequestHandler requestHandler;
   private final OwnerLoad load;
   private final Map<String, RunnerLink> links = new HashMap<>();
-  private final ContactLimiter contacts = new ContactLimiter();
+  private final PassPacer passPacer = new PassPacer();
+  private final CallLimiter contacts;
+  private final CallLimiter orders;
   private final RecoveryCallQueue queuedCalls = new RecoveryCallQueue();
   private final long formerLeasesExpireMillis;
   private final long claimedMillis;
@@ -75,7 +85,6 @@
   private boolean open;
   private boolean closed;
   private boolean passScheduled;
-  private long nextPassMillis;
   private long nextPurgeMillis;
   private long storeContactMillis;
 
@@ -100,8 +109,13 @@
     this.clusterView = new ClusterView(context, shard, this::clusterViewChanged);
     this.adviceDispatcher = new AdviceDispatcher(context, shard, this::handleAdvice);
     this.requestHandler = new ClientRequestHandler(scheduler, clusterView);
-    this.load = new OwnerLoad(context, scheduler, adviceDispatcher, links.values());
     this.claimedMillis = context.nowMillis();
+    int minCalls =
+        (int) Math.max(MIN_CALLS, context.settings().ownerCapacity() / CAPACITY_PER_CALL);
+    this.contacts = new CallLimiter(minCalls, minCalls);
+    this.orders = new CallLimiter(minCalls, Math.max(minCalls, INITIAL_ORDERS));
+    this.load =
+        new OwnerLoad(context, scheduler, adviceDispatcher, links.values(), contacts, orders);
     this.storeContactMillis = claimedMillis;
     this.formerLeasesExpireMillis =
         claimedMillis
@@ -252,14 +266,14 @@
     if (!open || closed) {
       return;
     }
-    long now = context.nowMillis();
-    if (now >= nextPassMillis) {
+    long delayMillis = passPacer.delayMillis(context.nowMillis());
+    if (delayMillis == 0) {
       runPlacementPass();
     } else if (!passScheduled) {
       passScheduled = true;
       context.schedule(
           shard,
-          nextPassMillis - now,
+          delayMillis,
           () -> {
             passScheduled = false;
             if (!closed) {
@@ -272,16 +286,26 @@
   private void runPlacementPass() {
     updateClock();
     final long startNanos = context.time().monotonicNanos();
-    scheduler.place();
+    int maxStarts = ORDERS_AHEAD * orders.limit() - ordersWaiting();
+    // Tasks placed behind more orders than can be sent would start no sooner. The others keep their
+    // order of urgency and occupy no capacity meanwhile.
+    if (maxStarts > 0) {
+      scheduler.place(maxStarts);
+    }
     executeDecision();
     adviceDispatcher.assignRequests(scheduler::nextAdviceRequest);
     long endNanos = context.time().monotonicNanos();
     load.recordPass(endNanos - startNanos);
-    long intervalMillis =
-        Math.max(
-            PASS_INTERVAL_MILLIS,
-            TimeUnit.NANOSECONDS.toMillis(PASS_INTERVAL_FACTOR * (endNanos - startNanos)));
-    nextPassMillis = TimeUnit.NANOSECONDS.toMillis(startNanos) + intervalMillis;
+    passPacer.passed(startNanos, endNanos);
+  }
+
+  /** Returns how many orders wait to be sent to any runner. */
+  private int ordersWaiting() {
+    int waiting = 0;
+    for (RunnerLink l : links.values()) {
+      waiting += l.ordersWaiting();
+    }
+    return waiting;
   }
 
   /** Executes the scheduler's decisions since the last call. */
@@ -351,10 +375,15 @@
   }
 
   @Override
-  public ContactLimiter contacts() {
+  public CallLimiter contacts() {
     return contacts;
   }
 
+  @Override
+  public CallLimiter orders() {
+    return orders;
+  }
+
   @Override
   public void onFenced() {
     if (!closed) {
@@ -439,7 +468,7 @@
                     .thenAccept(
                         a -> shard.run(() -> shard.runAfterUnlock(() -> answer.complete(a)))));
     if (more) {
-      context.schedule(shard, PASS_INTERVAL_MILLIS, this::answerQueuedCalls);
+      context.schedule(shard, QUEUED_BATCH_MILLIS, this::answerQueuedCalls);
     }
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/CellState.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/CellState.java
@@ -45,6 +45,9 @@
   /** Newest version of the configuration that any owner has applied; -1 for none. */
   long appliedPolicyVersion = -1;
 
+  /** Number of starts intended so far. */
+  long startsIntended;
+
   /** Number of times that a run occupied or released capacity of its runner. */
   long occupancyVersion;
 
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -78,16 +78,20 @@
    * Starts the tasks that fit. Steps are examined in order of rank up to a limit; the rest of the
    * pass goes to the remaining steps, least recently examined first. Steps that cannot start
    * therefore never starve the steps behind them.
+   *
+   * @param maxStarts number of intended starts after which no further step is examined; a step is
+   *     placed as a whole
    */
-  void runPass() {
+  void runPass(int maxStarts) {
     advice.clearRequested();
     headroom.update();
     freeCapacity.update();
     passNumber++;
+    final long startsBefore = cell.startsIntended;
     int examined = 0;
     List<Step> skipped = new ArrayList<>();
     for (Step s : stepsByRank()) {
-      if (examined == MAX_STEPS_IN_ORDER) {
+      if (examined == MAX_STEPS_IN_ORDER || cell.startsIntended - startsBefore >= maxStarts) {
         skipped.add(s);
       } else if (examine(s)) {
         examined++;
@@ -95,7 +99,9 @@
     }
     skipped.sort(Comparator.comparingLong(s -> s.lastExaminedMillis));
     int revisited = 0;
-    while (revisited < skipped.size() && examined < MAX_STEPS) {
+    while (revisited < skipped.size()
+        && examined < MAX_STEPS
+        && cell.startsIntended - startsBefore < maxStarts) {
       examined += examine(skipped.get(revisited++)) ? 1 : 0;
     }
     counts = counts.plus(examined, skipped.size() - revisited);
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunLifecycle.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunLifecycle.java
@@ -34,6 +34,7 @@
     Run r = new Run(t, number, runner, runner.incarnation);
     t.lastRun = Math.max(t.lastRun, number);
     t.run = r;
+    cell.startsIntended++;
     cell.occupy(r);
     r.probe = runner.health.recordStart();
     cell.addRecord(new Intended(t.key, number, runner.id(), runner.incarnation));
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -346,9 +346,14 @@
     watchdog.tick();
   }
 
-  /** Runs one placement pass and logs why steps wait. */
+  /** Runs one placement pass without a limit of starts and logs why steps wait. */
   public void place() {
-    placement.runPass();
+    place(Integer.MAX_VALUE);
+  }
+
+  /** Runs one placement pass that ends after about {@code maxStarts} starts. */
+  public void place(int maxStarts) {
+    placement.runPass(maxStarts);
     waitLogger.logDueSteps();
   }
 
--- a/core/src/test/java/dev/dandelionport/core/dispatch/ContactLimiterTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/CallLimiterTest.java
@@ -13,7 +13,9 @@
  * Guards against a new owner on a small machine that asks all runners at once: everything else that
  * the machine has to do, such as a journal write, then waits until all of them have answered.
  */
-class ContactLimiterTest {
+class CallLimiterTest {
+
+  private static final int MIN_LIMIT = 4;
 
   /** Interval at which the owner renews its lease, in milliseconds; no work may wait longer. */
   private static final long RENEWAL_MILLIS = 250;
@@ -21,7 +23,7 @@
   /** Answers calls one after the other, as a machine with little processor time does. */
   private static final class SlowMachine {
     private final VirtualTime time = new VirtualTime(1);
-    private final ContactLimiter limiter = new ContactLimiter();
+    private final CallLimiter limiter = new CallLimiter(MIN_LIMIT, MIN_LIMIT);
     private final long callMillis;
     private final List<String> answered = new ArrayList<>();
     private long busyUntilMillis = time.nowMillis();
@@ -32,14 +34,15 @@
     }
 
     void contact(String runner, boolean hasRuns) {
-      ContactLimiter.Contact[] self = new ContactLimiter.Contact[1];
+      CallLimiter.Sender[] self = new CallLimiter.Sender[1];
       self[0] =
           () -> {
-            if (limiter.tryAcquire(self[0], hasRuns)) {
+            if (limiter.admits(self[0], hasRuns)) {
+              limiter.sent();
               send(runner);
             }
           };
-      self[0].call();
+      self[0].send();
     }
 
     private void send(String runner) {
@@ -51,7 +54,7 @@
           waitMillis,
           () -> {
             answered.add(runner);
-            limiter.release(waitMillis, true);
+            limiter.completed(sentMillis, time.nowMillis(), true);
           });
     }
   }
@@ -89,22 +92,48 @@
   @Test
   void runnersThatDoNotAnswerHoldUpNoOther() {
     VirtualTime time = new VirtualTime(1);
-    ContactLimiter limiter = new ContactLimiter();
+    CallLimiter limiter = new CallLimiter(MIN_LIMIT, MIN_LIMIT);
     List<Integer> called = new ArrayList<>();
     for (int i = 0; i < 20; i++) {
       int runner = i;
-      ContactLimiter.Contact[] self = new ContactLimiter.Contact[1];
+      CallLimiter.Sender[] self = new CallLimiter.Sender[1];
       self[0] =
           () -> {
-            if (limiter.tryAcquire(self[0], false)) {
+            if (limiter.admits(self[0], false)) {
+              limiter.sent();
               called.add(runner);
-              time.afterMillis(400, () -> limiter.release(400, false));
+              long sent = time.nowMillis();
+              time.afterMillis(400, () -> limiter.completed(sent, time.nowMillis(), false));
             }
           };
-      self[0].call();
+      self[0].send();
     }
-    time.runFor(20 / ContactLimiter.MIN_LIMIT * 400);
+    time.runFor(20 / MIN_LIMIT * 400);
     assertThat(called).hasSize(20);
     assertThat(limiter.waiting()).isZero();
   }
+
+  // Calls to runners that have lost power must not slow down those to others.
+  @Test
+  void limitStaysWhileOtherRunnersAnswerFast() {
+    CallLimiter limiter = new CallLimiter(MIN_LIMIT, 64);
+    for (int i = 0; i < 100; i++) {
+      limiter.sent();
+      limiter.sent();
+      limiter.completed(300 * i, 300 * i + 2, true);
+      limiter.completed(300 * i, 300 * i + 300, false);
+    }
+    assertThat(limiter.limit()).isGreaterThanOrEqualTo(64);
+  }
+
+  // Without any answer the machine itself is the likely cause, so fewer calls are sent.
+  @Test
+  void limitFallsWhileNothingIsAnswered() {
+    CallLimiter limiter = new CallLimiter(MIN_LIMIT, 64);
+    for (int i = 0; i < 20; i++) {
+      limiter.sent();
+      limiter.completed(300 * i, 300 * i + 300, false);
+    }
+    assertThat(limiter.limit()).isEqualTo(MIN_LIMIT);
+  }
 }
--- a/core/src/test/java/dev/dandelionport/core/workflow/LateCompletionTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/LateCompletionTest.java
@@ -38,7 +38,7 @@
     f.scheduler.markUnresponsive(first.runner());
     f.scheduler.expireLeases(first.runner());
     f.place();
-    WorkflowEffect.Start second = f.answerStarts(StartResult.PRESENT).get(0);
+    final WorkflowEffect.Start second = f.answerStarts(StartResult.PRESENT).get(0);
     f.end(first, RunEnd.DONE, "");
     f.collectDecision();
     assertThat(f.journal)
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
@@ -62,10 +62,14 @@
   }
 
   void submit(String id, String queue, StepSpec... steps) {
+    submitWithoutPass(id, queue, steps);
+    place();
+  }
+
+  void submitWithoutPass(String id, String queue, StepSpec... steps) {
     updateTime();
     scheduler.submit(
         new WorkflowSpec(id, queue, "a", "payload", List.of(steps), Recurrence.ONCE, false));
-    place();
   }
 
   /** Drains one of the two runners and fails runs on the other until it is quarantined. */
@@ -86,6 +90,13 @@
     collectDecision();
   }
 
+  /** Runs a placement pass with a limit of starts and collects its decision. */
+  void place(int maxStarts) {
+    updateTime();
+    scheduler.place(maxStarts);
+    collectDecision();
+  }
+
   void collectDecision() {
     WorkflowDecision d = scheduler.takeDecision();
     journal.addAll(d.records());
