Replace an owner that the store turns away before its lease ends

The owner knew after its first failed calls that the store did not serve it, and others could reach the store, but they waited for its lease of 1 s to end. Change: after two failed renewals in a row, which are repeated every 100 ms while they fail, the owner asks the largest instance that says it may claim to do so, the next one after 0.3 s. The claim is safe at any time, as that of a larger instance is. If the store serves nobody, nothing changes.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/DispatchTopic.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchTopic.java
@@ -10,6 +10,8 @@
   OWNER_LOST,
   OWNER_CHANGED,
   HAND_OVER_OFFERED,
+  /** The store does not serve the owner, which therefore asks another instance to take over. */
+  SUBSTITUTE_REQUESTED,
   /** A newer configuration was applied. */
   POLICY_IN_FORCE,
   DOMAINS_CLOSED,
--- a/core/src/main/java/dev/dandelionport/core/dispatch/MemberTable.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/MemberTable.java
@@ -211,6 +211,18 @@
         .map(contact -> contact.member().info());
   }
 
+  /**
+   * Returns the instance that should claim from an owner to which the store is unavailable,
+   * whatever its capacity; the next largest one with each attempt, because the store may be
+   * unavailable to some of them too.
+   */
+  Optional<InstanceInfo> substitute(int attempt) {
+    List<MemberContact> reachable = reachableLargerThan(0).toList();
+    return reachable.isEmpty()
+        ? Optional.empty()
+        : Optional.of(reachable.get(attempt % reachable.size()).member().info());
+  }
+
   /**
    * Returns the clearly larger instance that should claim before this one, according to the latest
    * answer of the owner.
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -43,6 +43,9 @@
   /** Number of renewals in the time to live of the owner's lease. */
   private static final int RENEWALS_PER_LEASE = 4;
 
+  /** Consecutive failed renewals from which the store counts as unavailable to this instance. */
+  private static final int MIN_FAILED_RENEWALS = 2;
+
   private final DispatchContext context;
   private final Shard shard;
   private final MemberTable members;
@@ -53,6 +56,9 @@
   private boolean stopped;
   private long renewalSentMillis;
 
+  /** Number of renewals that have failed since the latest successful one. */
+  private int failedRenewals;
+
   /** Lease of this instance while it is the owner. */
   private final OwnerLease lease;
 
@@ -121,6 +127,11 @@
     return isOwner() && !lease.isValid();
   }
 
+  /** Returns whether this instance is the owner but the store does not serve it. */
+  boolean isOwnerWithoutStore() {
+    return isOwner() && failedRenewals >= MIN_FAILED_RENEWALS;
+  }
+
   /** Returns whether this instance is the owner and its lease is certainly valid. */
   boolean isLeaseValid() {
     return isOwner() && lease.isValid();
@@ -276,6 +287,7 @@
       claiming = false;
       final Optional<Owner> former = owner;
       renewalSentMillis = context.nowMillis();
+      failedRenewals = 0;
       lease.grant(c.sent(), context.settings().ownerLeaseMillis());
       updateOwner(Optional.of(new Owner(context.self(), committed.revision(), c.lease())));
       former
@@ -339,8 +351,8 @@
    */
   void renew(Consumer<Long> renewed) {
     long now = context.nowMillis();
-    if (!isOwner()
-        || now - renewalSentMillis < context.settings().ownerLeaseMillis() / RENEWALS_PER_LEASE) {
+    long intervalMillis = context.settings().ownerLeaseMillis() / RENEWALS_PER_LEASE;
+    if (!isOwner() || failedRenewals == 0 && now - renewalSentMillis < intervalMillis) {
       return;
     }
     renewalSentMillis = now;
@@ -357,6 +369,7 @@
                         shard.run(
                             () -> {
                               if (e != null) {
+                                failedRenewals++;
                                 // The renewal is retried soon; if all retries fail, the lease
                                 // expires.
                                 context.report(
@@ -368,6 +381,7 @@
                                     "error",
                                     Failures.cause(e).toString());
                               } else if (ok) {
+                                failedRenewals = 0;
                                 lease.extend(sent, ttlMillis);
                                 renewed.accept(now);
                               } else if (owner.equals(Optional.of(ownKey))) {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -71,6 +71,8 @@
   private long ownerRevision;
   private long ownerContactMillis = Long.MIN_VALUE / 2;
   private long nextOfferMillis;
+  private long nextSubstituteMillis = Long.MIN_VALUE;
+  private int substituteAttempts;
   private long peerCallMillis = Long.MIN_VALUE / 2;
   private int processEndedCount;
   private boolean stopping;
@@ -154,6 +156,7 @@
                     }
                   }));
       shard.run(this::offerHandOver);
+      shard.run(this::requestSubstitute);
     } finally {
       if (!shard.call(() -> stopping)) {
         context.timer().schedule(HEARTBEAT_MILLIS / 3, this::renew);
@@ -178,11 +181,32 @@
       return;
     }
     nextOfferMillis = context.nowMillis() + OFFER_INTERVAL_MILLIS;
+    offer(to.get(), DispatchTopic.HAND_OVER_OFFERED);
+  }
+
+  /**
+   * Requests another instance to claim the workflows while the store does not serve this one.
+   * Otherwise nothing can be accepted or started until the lease has expired.
+   */
+  private void requestSubstitute() {
+    long now = context.nowMillis();
+    if (owner == null || stopping || !election.isOwnerWithoutStore()) {
+      substituteAttempts = 0;
+      return;
+    }
+    if (now >= nextSubstituteMillis) {
+      nextSubstituteMillis = now + OFFER_TIMEOUT_MILLIS;
+      members
+          .substitute(substituteAttempts++)
+          .ifPresent(to -> offer(to, DispatchTopic.SUBSTITUTE_REQUESTED));
+    }
+  }
+
+  private void offer(InstanceInfo to, DispatchTopic reason) {
     // Only a change of the owner key has an effect, so neither an answer nor a failure is awaited.
     ClaimCall call = new ClaimCall(ownerRevision);
-    shard.runAfterUnlock(() -> context.peers().request(to.get(), call, OFFER_TIMEOUT_MILLIS));
-    context.report(
-        DispatchTopic.HAND_OVER_OFFERED, "to", to.get().id().value(), "token", ownerRevision);
+    shard.runAfterUnlock(() -> context.peers().request(to, call, OFFER_TIMEOUT_MILLIS));
+    context.report(reason, "to", to.id().value(), "token", ownerRevision);
   }
 
   private void heartbeat() {
--- a/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
+++ b/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
@@ -21,6 +21,7 @@
       case OWNER_LOST -> LogEvent.WORKFLOWS_LOST;
       case OWNER_CHANGED -> LogEvent.WORKFLOW_OWNER;
       case HAND_OVER_OFFERED -> LogEvent.WORKFLOWS_OFFERED;
+      case SUBSTITUTE_REQUESTED -> LogEvent.SUBSTITUTE_REQUESTED;
       case POLICY_IN_FORCE -> LogEvent.POLICY_IN_FORCE;
       case DOMAINS_CLOSED -> LogEvent.DOMAINS_CLOSED;
       case ACTION_FAILED -> LogEvent.ACTION_FAILED;
--- a/node/src/main/java/dev/dandelionport/node/process/LogEvent.java
+++ b/node/src/main/java/dev/dandelionport/node/process/LogEvent.java
@@ -35,6 +35,8 @@
   WORKFLOW_OWNER(2017, Level.INFO, "owner of the workflows changed"),
   WORKFLOW_LOAD(2018, Level.INFO, "load of the workflows' owner"),
   WORKFLOWS_OFFERED(2019, Level.INFO, "owner asks a larger instance to take over"),
+  SUBSTITUTE_REQUESTED(
+      2020, Level.WARN, "owner without the store asks another instance to take over"),
   MANIFEST_ADOPTED(3001, Level.INFO, "manifest came into force"),
   OPERATOR_CALL(3002, Level.INFO, "operator call was carried out"),
   OPERATOR_REFUSED(3003, Level.WARN, "operator call without a valid key was refused", 1_000),
