Split leases and the collection of links from the owner's classes

Change: RunnerLeases holds what a link knows of the runner's clock and leases, RunnerLinks holds the links with the limits of their calls. Behaviour is unchanged.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLoad.java
@@ -2,7 +2,6 @@
 
 import dev.dandelionport.core.workflow.CellLoad;
 import dev.dandelionport.core.workflow.WorkflowScheduler;
-import java.util.Collection;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -14,9 +13,7 @@
   private final DispatchContext context;
   private final WorkflowScheduler scheduler;
   private final AdviceDispatcher adviceDispatcher;
-  private final Collection<RunnerLink> links;
-  private final CallLimiter contacts;
-  private final CallLimiter orders;
+  private final RunnerLinks links;
   private final DurationStats passDurations = new DurationStats();
   private final DurationStats timerLags = new DurationStats();
   private long tickDueMillis = Long.MAX_VALUE;
@@ -54,20 +51,16 @@
     }
   }
 
-  /** Creates a load measurement; {@code links} is a live view of the runner links. */
+  /** Creates a load measurement; {@code links} are the links to all runners. */
   OwnerLoad(
       DispatchContext context,
       WorkflowScheduler scheduler,
       AdviceDispatcher adviceDispatcher,
-      Collection<RunnerLink> links,
-      CallLimiter contacts,
-      CallLimiter orders) {
+      RunnerLinks links) {
     this.context = context;
     this.scheduler = scheduler;
     this.adviceDispatcher = adviceDispatcher;
     this.links = links;
-    this.contacts = contacts;
-    this.orders = orders;
     this.periodStartMillis = context.nowMillis();
   }
 
@@ -94,7 +87,7 @@
     int waiting = 0;
     int maxWaiting = 0;
     int holds = 0;
-    for (RunnerLink l : links) {
+    for (RunnerLink l : links.all()) {
       waiting += l.ordersWaiting();
       maxWaiting = Math.max(maxWaiting, l.ordersWaiting());
       holds += l.isCallPending() ? 1 : 0;
@@ -128,9 +121,9 @@
       "journalOldestMillis", journal.oldestMillis(),
       "ordersWaiting", waiting,
       "ordersMost", maxWaiting,
-      "ordersLimit", orders.limit(),
-      "firstCallsLimit", contacts.limit(),
-      "firstCallsWaiting", contacts.waiting(),
+      "ordersLimit", links.orders().limit(),
+      "firstCallsLimit", links.firstCalls().limit(),
+      "firstCallsWaiting", links.firstCalls().waiting(),
       "holds", holds,
       "adviceBusy", advice.busy(),
       "adviceFree", advice.free(),
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -67,7 +67,7 @@
     boolean mayStart();
 
     /** Returns the limiter of first calls to runners. */
-    CallLimiter contacts();
+    CallLimiter firstCalls();
 
     /** Returns the limiter of start and stop orders to all runners. */
     CallLimiter orders();
@@ -85,10 +85,7 @@
   private final long token;
   private Address address;
 
-  /** Offset of the runner's clock from the local monotonic clock, from its latest answer. */
-  private long clockOffset;
-
-  private boolean clockKnown;
+  private final RunnerLeases leases;
   private boolean answered;
   private boolean holdPending;
 
@@ -121,12 +118,6 @@
   private long lastSentMillis;
   private int failures;
 
-  /** Time by which all leases on the runner have expired, on the monotonic clock. */
-  private long leasesExpireMillis;
-
-  /** Value of {@link #leasesExpireMillis} after which all runs with a lease were ended. */
-  private long handledExpiryMillis = Long.MIN_VALUE;
-
   RunnerLink(
       DispatchContext context,
       Shard shard,
@@ -139,7 +130,7 @@
     this.owner = owner;
     this.token = token;
     this.address = address;
-    this.leasesExpireMillis = leasesExpireMillis;
+    this.leases = new RunnerLeases(context, leasesExpireMillis);
     this.orders =
         new RunnerOrders(owner.orders(), this::sendStop, this::sendStart, owner::mayStart);
   }
@@ -180,17 +171,7 @@
       return;
     }
     orders.sendWaiting();
-    long now = context.nowMillis();
-    if (now > leasesExpireMillis
-        && leasesExpireMillis != handledExpiryMillis
-        && failures > 0
-        && owner.scheduler().hasRuns(runnerId())) {
-      // Starts that are still queued have no lease; they are rejected or extend the leases again.
-      handledExpiryMillis = leasesExpireMillis;
-      context.report(DispatchTopic.RUNNER_LEASES_EXPIRED, "runner", runnerId());
-      owner.scheduler().expireLeases(runnerId());
-      owner.applyDecisions();
-    }
+    endExpiredRuns();
     if (address.hostPort().isEmpty()) {
       failures = Math.max(1, failures);
       return;
@@ -207,6 +188,7 @@
     if (!callNeeded && !hasRuns) {
       return;
     }
+    long now = context.nowMillis();
     if ((awaitsReport || ackPending)
         && holdPending
         && !statusCallPending
@@ -221,10 +203,10 @@
       return;
     }
     if (!answered) {
-      if (!owner.contacts().admits(contact, hasRuns)) {
+      if (!owner.firstCalls().admits(contact, hasRuns)) {
         return;
       }
-      owner.contacts().sent();
+      owner.firstCalls().sent();
       contacting = true;
     }
     holdPending = true;
@@ -232,6 +214,17 @@
     sendHold(mayWait && (!ackPending || isIncarnationConfirmed()) ? HOLD_WAIT_MILLIS : 0, false);
   }
 
+  /** Ends the runs on an unresponsive runner once all leases on it have expired. */
+  private void endExpiredRuns() {
+    if (leases.isExpiryUnhandled() && failures > 0 && owner.scheduler().hasRuns(runnerId())) {
+      // Starts that are still queued have no lease; they are rejected or extend the leases again.
+      leases.expiryHandled();
+      context.report(DispatchTopic.RUNNER_LEASES_EXPIRED, "runner", runnerId());
+      owner.scheduler().expireLeases(runnerId());
+      owner.applyDecisions();
+    }
+  }
+
   /** Returns whether the latest report is so recent that the runner cannot have restarted since. */
   private boolean isIncarnationConfirmed() {
     return context.nowMillis() - lastReportMillis < MAX_REPORT_AGE_MILLIS;
@@ -243,9 +236,9 @@
     long leaseUntilMillis = RunnerClient.NO_TIME;
     // A call without an answer may still extend the leases. An unresponsive runner therefore gets
     // no extension: otherwise its runs could never be considered ended.
-    boolean responsive = clockKnown && failures == 0;
+    boolean responsive = leases.isClockKnown() && failures == 0;
     if (responsive && owner.mayExtendLeases() && owner.scheduler().hasRuns(runnerId())) {
-      leaseUntilMillis = extendLeases(now);
+      leaseUntilMillis = leases.extend();
     }
     final long grantedUntilMillis = leaseUntilMillis;
     final Address to = address;
@@ -265,11 +258,6 @@
                     (a, e) -> shard.run(() -> holdCompleted(a, e, now, acked, statusOnly))));
   }
 
-  private long extendLeases(long now) {
-    leasesExpireMillis = Math.max(leasesExpireMillis, now + context.settings().maxLeaseMillis());
-    return now + clockOffset + context.settings().runnerLeaseMillis();
-  }
-
   private void holdCompleted(
       HoldAnswer a, Throwable e, long sentMillis, long acked, boolean statusOnly) {
     if (statusOnly) {
@@ -282,7 +270,7 @@
     }
     if (contacting && !statusOnly) {
       contacting = false;
-      owner.contacts().completed(sentMillis, context.nowMillis(), e == null);
+      owner.firstCalls().completed(sentMillis, context.nowMillis(), e == null);
     }
     if (e != null) {
       callFailed();
@@ -326,7 +314,7 @@
     failures = 0;
     nextCallMillis = 0;
     answered = true;
-    updateClockOffset(r.clockMillis());
+    leases.updateClock(r.clockMillis());
     owner.scheduler().report(runnerId(), r, sentMillis);
     if (!r.ends().isEmpty()) {
       long last = r.ends().get(r.ends().size() - 1).number();
@@ -350,13 +338,6 @@
     callIfNeeded();
   }
 
-  private void updateClockOffset(long clockMillis) {
-    if (clockMillis != RunnerClient.NO_TIME) {
-      clockOffset = clockMillis - context.nowMillis();
-      clockKnown = true;
-    }
-  }
-
   private void callFailed() {
     failures++;
     long delayMillis = Math.min(MAX_RETRY_MILLIS, RETRY_MILLIS * failures);
@@ -386,12 +367,12 @@
       owner.applyDecisions();
       return false;
     }
-    if (!clockKnown) {
+    if (!leases.isClockKnown()) {
       handleStartResult(order.get(), StartResult.UNHEALTHY, RunnerClient.NO_TIME);
       return false;
     }
     final long sentMillis = context.nowMillis();
-    long leaseUntil = extendLeases(sentMillis);
+    long leaseUntil = leases.extend();
     Address to = address;
     shard.runAfterUnlock(
         () ->
@@ -416,7 +397,7 @@
     if (owner.isClosed()) {
       return;
     }
-    updateClockOffset(clockMillis);
+    leases.updateClock(clockMillis);
     owner.scheduler().handleStartResult(order.task(), order.run(), runnerId(), result);
     owner.applyDecisions();
     if (result == StartResult.FENCED) {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -6,14 +6,12 @@
 import dev.dandelionport.core.message.PeerMessage.WorkflowCall;
 import dev.dandelionport.core.message.WorkflowStatus;
 import dev.dandelionport.core.port.InstanceInfo;
-import dev.dandelionport.core.port.RunnerClient.Address;
 import dev.dandelionport.core.workflow.AdviceRequest;
 import dev.dandelionport.core.workflow.WorkflowDecision;
 import dev.dandelionport.core.workflow.WorkflowEffect;
 import dev.dandelionport.core.workflow.WorkflowRecord;
 import dev.dandelionport.core.workflow.WorkflowScheduler;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -28,21 +26,6 @@
   /** Interval of checks that are not triggered by a message, in milliseconds. */
   private static final long TICK_MILLIS = 50;
 
-  /** Smallest number of first calls to runners, or of orders, that may always be in flight. */
-  private static final int MIN_CALLS = 4;
-
-  /**
-   * Capacity of a machine, in thousandths of a core, for each call that may always be in flight. A
-   * new process handles about 170 first calls a second on a core, and each may take 400 ms.
-   */
-  private static final long CAPACITY_PER_CALL = 30;
-
-  /** Number of orders in flight that a new owner starts with. */
-  private static final int INITIAL_ORDERS = 64;
-
-  /** Orders that may wait to be sent, as a multiple of those that may be in flight. */
-  private static final int ORDERS_AHEAD = 2;
-
   /** Interval at which workflows that ended long ago are removed, in milliseconds. */
   private static final long PURGE_INTERVAL_MILLIS = 5_000;
 
@@ -74,10 +57,8 @@
   private final AdviceDispatcher adviceDispatcher;
   private final ClientRequestHandler requestHandler;
   private final OwnerLoad load;
-  private final Map<String, RunnerLink> links = new HashMap<>();
+  private final RunnerLinks links;
   private final PassPacer passPacer = new PassPacer();
-  private final CallLimiter contacts;
-  private final CallLimiter orders;
   private final RecoveryCallQueue queuedCalls = new RecoveryCallQueue();
   private final long formerLeasesExpireMillis;
   private final long claimedMillis;
@@ -110,17 +91,17 @@
     this.adviceDispatcher = new AdviceDispatcher(context, shard, this::handleAdvice);
     this.requestHandler = new ClientRequestHandler(scheduler, clusterView);
     this.claimedMillis = context.nowMillis();
-    int minCalls =
-        (int) Math.max(MIN_CALLS, context.settings().ownerCapacity() / CAPACITY_PER_CALL);
-    this.contacts = new CallLimiter(minCalls, minCalls);
-    this.orders = new CallLimiter(minCalls, Math.max(minCalls, INITIAL_ORDERS));
-    this.load =
-        new OwnerLoad(context, scheduler, adviceDispatcher, links.values(), contacts, orders);
     this.storeContactMillis = claimedMillis;
-    this.formerLeasesExpireMillis =
+    long leasesExpireMillis =
         claimedMillis
             + DispatchSettings.EXTEND_WITHOUT_STORE_MILLIS
             + context.settings().maxLeaseMillis();
+    this.formerLeasesExpireMillis = leasesExpireMillis;
+    this.links =
+        new RunnerLinks(
+            context.settings().ownerCapacity(),
+            to -> new RunnerLink(context, shard, this, revision, to, leasesExpireMillis));
+    this.load = new OwnerLoad(context, scheduler, adviceDispatcher, links);
   }
 
   /** Reads the history and starts scheduling. Must be called without the lock. */
@@ -193,7 +174,7 @@
     }
     scheduler.setClosedDomains(clusterView.closedDomains());
     scheduler.setRunners(clusterView.runners());
-    clusterView.runners().forEach(r -> link(r.id()).setAddress(new Address(r.id(), r.address())));
+    links.setAddresses(clusterView.runners());
     if (!open) {
       open = true;
       context.report(
@@ -209,15 +190,7 @@
       context.schedule(shard, QUEUED_CALLS_DELAY_MILLIS, this::answerQueuedCalls);
     }
     applyDecisions();
-    links.values().forEach(RunnerLink::callIfNeeded);
-  }
-
-  private RunnerLink link(String runner) {
-    return links.computeIfAbsent(
-        runner,
-        k ->
-            new RunnerLink(
-                context, shard, this, revision, new Address(k, ""), formerLeasesExpireMillis));
+    links.callIfNeeded();
   }
 
   private void tick() {
@@ -245,9 +218,9 @@
       }
       applyDecisions();
       for (String id : scheduler.runnersWithRuns()) {
-        link(id);
+        links.get(id);
       }
-      new ArrayList<>(links.values()).forEach(RunnerLink::callIfNeeded);
+      links.callIfNeeded();
       if (journal.isSnapshotDue()) {
         journal.writeSnapshot(scheduler.snapshot());
       }
@@ -286,9 +259,7 @@
   private void runPlacementPass() {
     updateClock();
     final long startNanos = context.time().monotonicNanos();
-    int maxStarts = ORDERS_AHEAD * orders.limit() - ordersWaiting();
-    // Tasks placed behind more orders than can be sent would start no sooner. The others keep their
-    // order of urgency and occupy no capacity meanwhile.
+    int maxStarts = links.startsToPlace();
     if (maxStarts > 0) {
       scheduler.place(maxStarts);
     }
@@ -299,15 +270,6 @@
     passPacer.passed(startNanos, endNanos);
   }
 
-  /** Returns how many orders wait to be sent to any runner. */
-  private int ordersWaiting() {
-    int waiting = 0;
-    for (RunnerLink l : links.values()) {
-      waiting += l.ordersWaiting();
-    }
-    return waiting;
-  }
-
   /** Executes the scheduler's decisions since the last call. */
   private void executeDecision() {
     WorkflowDecision d = scheduler.takeDecision();
@@ -317,7 +279,7 @@
     List<WorkflowEffect> durableEffects = new ArrayList<>();
     for (WorkflowEffect e : d.effects()) {
       if (e instanceof WorkflowEffect.Stop s) {
-        link(s.runner()).stop(s.task(), s.run());
+        links.get(s.runner()).stop(s.task(), s.run());
       } else if (e instanceof WorkflowEffect.LogEntry n) {
         reportDecision(n);
       } else {
@@ -346,7 +308,7 @@
     storeContactMillis = context.nowMillis();
     for (WorkflowEffect e : effects) {
       if (e instanceof WorkflowEffect.Start s) {
-        link(s.runner()).start(s.task(), s.run());
+        links.get(s.runner()).start(s.task(), s.run());
       } else if (e instanceof WorkflowEffect.PublishState s) {
         scheduler.markStateDurable(s.workflow(), s.state());
       }
@@ -375,13 +337,13 @@
   }
 
   @Override
-  public CallLimiter contacts() {
-    return contacts;
+  public CallLimiter firstCalls() {
+    return links.firstCalls();
   }
 
   @Override
   public CallLimiter orders() {
-    return orders;
+    return links.orders();
   }
 
   @Override
@@ -438,7 +400,7 @@
         && !journal.isFailing()
         && queuedCalls.size() == 0
         && (now > formerLeasesExpireMillis
-            || scheduler.runnersWithRuns().stream().allMatch(r -> link(r).isResponsive()));
+            || scheduler.runnersWithRuns().stream().allMatch(r -> links.get(r).isResponsive()));
   }
 
   boolean isFlushed() {
