--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClusterView.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClusterView.java
@@ -168,8 +168,16 @@
     try {
       return decoder.apply(e);
     } catch (RuntimeException x) {
-      context.report(
-          DispatchTopic.ENTRY_IGNORED, "key", e.key(), "revision", e.revision(), "error", "" + x);
+      if (unreadableKeys.add(e.key())) {
+        context.report(
+            DispatchTopic.ENTRY_IGNORED,
+            "key",
+            e.key(),
+            "revision",
+            e.revision(),
+            "error",
+            x.toString());
+      }
       return Optional.empty();
     }
   }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLinks.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLinks.java
@@ -16,8 +16,8 @@
   private static final int MIN_CALLS = 4;
 
   /**
-   * Capacity of a machine, in thousandths of a core, for each call that may always be in flight. A
-   * new process handles about 170 first calls a second on a core, and each may take 400 ms.
+   * Capacity of a machine, in thousandths of a core, for each call that may always be in flight.
+   * With more calls, some would time out before a new process has handled their answers.
    */
   private static final long CAPACITY_PER_CALL = 30;
 
