--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLinks.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLinks.java
@@ -16,10 +16,11 @@
   private static final int MIN_CALLS = 4;
 
   /**
-   * Capacity of a machine, in thousandths of a core, for each call that may always be in flight.
-   * With more calls, some would time out before a new process has handled their answers.
+   * Capacity of a machine, in thousandths of a core, for each call that may always be in flight. A
+   * new process on a large machine may contact hundreds of runners at once; only small machines
+   * depend on the limit to adapt.
    */
-  private static final long CAPACITY_PER_CALL = 30;
+  private static final long CAPACITY_PER_CALL = 5;
 
   /** Number of orders in flight that a new owner starts with. */
   private static final int INITIAL_ORDERS = 64;
