--- a/core/src/test/java/dev/dandelionport/core/testing/StepSpecs.java
+++ b/core/src/test/java/dev/dandelionport/core/testing/StepSpecs.java
@@ -65,7 +65,8 @@
     return step(tasks, size, estimateMillis, after, false, gang);
   }
 
-  private static StepSpec step(
+  /** Returns a step without constraints on its runners. */
+  public static StepSpec step(
       int tasks,
       ResourceVector size,
       long estimateMillis,
--- a/core/src/test/java/dev/dandelionport/core/workflow/LateCompletionTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/LateCompletionTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -14,18 +13,13 @@
   @Test
   void taskWhoseRunWasGivenUpIsDoneWhenItsRunnerReportsSo() {
     WorkflowFixture f = new WorkflowFixture();
-    f.submit("w", "batch", WorkflowFixture.step(1, 1_000));
-    WorkflowEffect.Start first = f.answerStarts(StartResult.PRESENT).get(0);
-    f.scheduler.markUnresponsive(first.runner());
-    f.scheduler.expireLeases(first.runner());
+    WorkflowEffect.Start first = startAndGiveUp(f, 1);
     f.place();
     WorkflowEffect.Start second = f.starts().get(0);
     assertThat(second.run()).isEqualTo(2);
     f.end(first, RunEnd.DONE, "");
     f.collectDecision();
-    assertThat(f.journal)
-        .anyMatch(
-            r -> r instanceof WorkflowRecord.Closed c && c.state() == WorkflowState.COMPLETED);
+    assertCompleted(f);
     assertThat(f.scheduler.prepareStart(second.task(), second.run(), second.runner())).isEmpty();
     assertThat(f.scheduler.hasRuns(second.runner())).isFalse();
   }
@@ -33,28 +27,19 @@
   @Test
   void runThatReplacedItIsStoppedWhenItHasAlreadyStarted() {
     WorkflowFixture f = new WorkflowFixture();
-    f.submit("w", "batch", WorkflowFixture.step(1, 1_000));
-    WorkflowEffect.Start first = f.answerStarts(StartResult.PRESENT).get(0);
-    f.scheduler.markUnresponsive(first.runner());
-    f.scheduler.expireLeases(first.runner());
+    WorkflowEffect.Start first = startAndGiveUp(f, 1);
     f.place();
     final WorkflowEffect.Start second = f.answerStarts(StartResult.PRESENT).get(0);
     f.end(first, RunEnd.DONE, "");
     f.collectDecision();
-    assertThat(f.journal)
-        .anyMatch(
-            r -> r instanceof WorkflowRecord.Closed c && c.state() == WorkflowState.COMPLETED);
+    assertCompleted(f);
     assertThat(f.stops()).contains(new WorkflowEffect.Stop(second.task(), 2, second.runner()));
   }
 
   @Test
   void nextOwnerRebuildsTheLateCompletion() {
     WorkflowFixture f = new WorkflowFixture();
-    f.submit("w", "batch", WorkflowFixture.step(2, 1_000));
-    List<WorkflowEffect.Start> starts = f.answerStarts(StartResult.PRESENT);
-    WorkflowEffect.Start first = starts.get(0);
-    f.scheduler.markUnresponsive(first.runner());
-    f.scheduler.expireLeases(first.runner());
+    WorkflowEffect.Start first = startAndGiveUp(f, 2);
     f.end(first, RunEnd.DONE, "");
     f.collectDecision();
     WorkflowScheduler next =
@@ -67,4 +52,19 @@
         .singleElement()
         .matches(r -> ((WorkflowRecord.TaskProgress) r).done());
   }
+
+  /** Starts the tasks of a step and gives up the first run; returns its start. */
+  private static WorkflowEffect.Start startAndGiveUp(WorkflowFixture f, int tasks) {
+    f.submit("w", "batch", WorkflowFixture.step(tasks, 1_000));
+    WorkflowEffect.Start first = f.answerStarts(StartResult.PRESENT).get(0);
+    f.scheduler.markUnresponsive(first.runner());
+    f.scheduler.expireLeases(first.runner());
+    return first;
+  }
+
+  private static void assertCompleted(WorkflowFixture f) {
+    assertThat(f.journal)
+        .anyMatch(
+            r -> r instanceof WorkflowRecord.Closed c && c.state() == WorkflowState.COMPLETED);
+  }
 }
--- a/core/src/test/java/dev/dandelionport/core/workflow/QueueLoad.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/QueueLoad.java
@@ -1,6 +1,7 @@
 package dev.dandelionport.core.workflow;
 
 import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.testing.StepSpecs;
 import dev.dandelionport.core.workflow.ClusterPolicy.Advice;
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import java.util.ArrayList;
@@ -94,23 +95,13 @@
       long estimate = (long) Math.max(1, millis * Math.exp(estimateSpread * r.nextGaussian()));
       work.add(millis);
       specs.add(
-          new StepSpec(
+          StepSpecs.step(
               tasks,
               new ResourceVector(0, 0, cores, memory, 0),
               estimate,
               i == 0 ? List.of() : List.of(i - 1),
               r.nextDouble() < checkpointFraction,
-              gang,
-              false,
-              "",
-              "",
-              0,
-              false,
-              false,
-              false,
-              "",
-              0,
-              0));
+              gang));
     }
     return new Sample(specs, work);
   }
--- a/node/src/main/java/dev/dandelionport/node/connection/HttpPool.java
+++ b/node/src/main/java/dev/dandelionport/node/connection/HttpPool.java
@@ -202,6 +202,9 @@
       // publisher gets each part as it arrives.
       Publisher<HttpObject> parts = extending::subscribe;
       return aggregate(used, HttpResponse.of(parts));
+    } catch (RuntimeException e) {
+      // As in send.
+      return CompletableFuture.failedFuture(e);
     }
   }
 
