--- /dev/null
+++ b/review/standin/Main.java
@@ -0,0 +1,56 @@
+import java.io.IOException;
+import java.nio.file.Path;
+
+/** Runs one case: arguments are its name and its folder. Exits with 1 if the rule was broken. */
+public final class Main {
+
+  private static final int BROKEN = 1;
+  private static final int COULD_NOT_RUN = 2;
+  private static final long LIMIT_MILLIS = 115_000;
+
+  /** A case; returns whether the rule held. */
+  interface Case {
+    boolean run(boolean trouble) throws IOException, InterruptedException;
+  }
+
+  private Main() {}
+
+  public static void main(String[] args) {
+    Path folder = Path.of(args[1]).toAbsolutePath();
+    Log.open(folder.resolve("record.txt"));
+    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    Runtime.getRuntime().addShutdownHook(new Thread(Node::killAll));
+    Thread limit =
+        new Thread(
+            () -> {
+              try {
+                Thread.sleep(LIMIT_MILLIS);
+              } catch (InterruptedException e) {
+                return;
+              }
+              Log.say("the case took too long");
+              Node.killAll();
+              Runtime.getRuntime().halt(COULD_NOT_RUN);
+            });
+    limit.setDaemon(true);
+    limit.start();
+    Case c =
+        switch (args[0]) {
+          case "large-batch" -> LargeBatch::run;
+          case "many-ends" -> ManyEnds::run;
+          default -> throw new IllegalArgumentException(args[0]);
+        };
+    int status;
+    try {
+      boolean held = c.run(trouble);
+      Log.say(held ? "the rule held" : "the rule was broken");
+      status = held ? 0 : BROKEN;
+    } catch (IOException | InterruptedException | RuntimeException e) {
+      Log.say("the case could not run: " + e);
+      e.printStackTrace();
+      status = COULD_NOT_RUN;
+    }
+    Node.killAll();
+    Runtime.getRuntime().halt(status);
+  }
+}
