--- a/review/standin/Cell.java
+++ b/review/standin/Cell.java
@@ -23,15 +23,17 @@
   private final Path folder;
 
   /** Starts everything; fails unless each node is ready within 30 s. */
-  Cell(int runnerCount, long cpu, long memoryMb) throws IOException, InterruptedException {
+  Cell(int runnerCount, long cpu, long memoryMb, int priority)
+      throws IOException, InterruptedException {
     folder = Files.createTempDirectory("review");
     store = new Store();
-    store.put("op/config", configuration(7));
+    store.put("op/config", configuration(7, priority));
     for (int i = 0; i < runnerCount; i++) {
-      runners.add(new Runner(store, "w" + i, cpu, memoryMb, "nw-" + (char) ('a' + i % 3), "r1-" + i));
+      runners.add(
+          new Runner(store, "w" + i, cpu, memoryMb, "nw-" + (char) ('a' + i % 3), "r1-" + i % 3));
     }
     for (int i = 0; i < NODES; i++) {
-      nodes.add(new Node(folder, "edge-" + i, "nw-" + (char) ('a' + i), store.http.address()));
+      nodes.add(new Node(folder, "edge-" + i, i, store.http.address()));
     }
     for (Node n : nodes) {
       n.start();
@@ -44,13 +46,13 @@
     Log.say("all nodes are ready");
   }
 
-  /** Returns a configuration with one queue that needs no advice and one tenant without limits. */
-  static String configuration(long version) {
+  /** Returns a configuration with one queue without advice and one tenant without limits. */
+  static String configuration(long version, int priority) {
     ObjectNode n = Http.object().put("version", version);
     ObjectNode q = n.putArray("routes").addObject();
     q.put("name", "q1").put("host", "127.0.0.1").put("prefix", "/jobs/");
     q.put("kind", "non_idempotent").put("timeout-ms", 3_000).put("target-duration-ms", 1_000);
-    q.put("priority", 0).put("service", "svc").put("max-attempts", 3).put("slack-factor", 2.0);
+    q.put("priority", priority).put("service", "svc").put("max-attempts", 3).put("slack-factor", 2.0);
     q.put("public", false);
     n.putArray("services").addObject().put("name", "svc").put("admission-check", false);
     n.putObject("limits");
@@ -60,13 +62,23 @@
     return n.toString();
   }
 
-  /** Returns the body of a job; each step has {@code count} tasks and follows the one before. */
-  static String job(String spec, int steps, int count, int cpu, int memoryMb, long estimateMillis) {
-    ObjectNode n = Http.object().put("spec", spec);
+  /**
+   * Returns the body of a job; each step has {@code count} tasks and follows the one before.
+   *
+   * @param millis run time of a task; -1 if the tasks last until the job is cancelled
+   * @param specBytes size of the payload, which is filled up to it
+   */
+  static String job(int steps, int count, int cpu, int memoryMb, long millis, int specBytes) {
+    String spec = millis + " " + cpu + " " + memoryMb + " ";
+    ObjectNode n = Http.object().put("spec", spec + "x".repeat(specBytes - spec.length()));
     ArrayNode list = n.putArray("steps");
     for (int i = 0; i < steps; i++) {
       ObjectNode s = list.addObject().put("count", count).put("cpu", cpu).put("mem-mb", memoryMb);
-      s.put("estimate-ms", estimateMillis);
+      if (millis >= 0) {
+        s.put("estimate-ms", millis);
+      } else {
+        s.put("long-running", true);
+      }
       if (i > 0) {
         s.putArray("after").add(i - 1);
       }
@@ -83,11 +95,22 @@
         .orElseThrow(() -> new IOException("no node owns the workflows"));
   }
 
+  /** Returns the last run of a task; null if it never ran. */
+  static Runner.Run lastRun(String task) {
+    Runner.Run last = null;
+    synchronized (Runner.ALL) {
+      for (Runner.Run r : Runner.ALL) {
+        last = r.task.equals(task) ? r : last;
+      }
+    }
+    return last;
+  }
+
   int running() {
     return runners.stream().mapToInt(Runner::runningCount).sum();
   }
 
-  /** Prints the lines of the processes that name a loss of ownership or an error. */
+  /** Copies what the processes wrote, to look into a run (variable LOGS). */
   void copyLogs(Path to) throws IOException {
     for (Node n : nodes) {
       Files.copy(
--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -37,9 +37,10 @@
   }
 
   final int port;
+  private final HttpServer server;
 
   Http(Handler handler) throws IOException {
-    HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 1_024);
+    server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 1_024);
     server.setExecutor(
         Executors.newCachedThreadPool(
             r -> {
@@ -52,6 +53,11 @@
     port = server.getAddress().getPort();
   }
 
+  /** Closes all connections and refuses new ones. */
+  void stop() {
+    server.stop(0);
+  }
+
   String address() {
     return "127.0.0.1:" + port;
   }
--- a/review/standin/LargeBatch.java
+++ b/review/standin/LargeBatch.java
@@ -26,10 +26,9 @@
   private LargeBatch() {}
 
   static boolean run(boolean trouble) throws IOException, InterruptedException {
-    Cell cell = new Cell(6, 32_000, 131_072);
+    Cell cell = new Cell(6, 32_000, 131_072, 0);
     try {
-      String spec = "300 " + "x".repeat(SPEC_BYTES - 4);
-      String body = Cell.job(spec, 2, 1, 500, 256, 300);
+      String body = Cell.job(2, 1, 500, 256, 300, SPEC_BYTES);
       long start = Log.now();
       Thread outage = new Thread(() -> takeDown(cell, start));
       if (trouble) {
--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -38,6 +38,8 @@
         switch (args[0]) {
           case "large-batch" -> LargeBatch::run;
           case "many-ends" -> ManyEnds::run;
+          case "lasting" -> Lasting::run;
+          case "zone-loss" -> ZoneLoss::run;
           default -> throw new IllegalArgumentException(args[0]);
         };
     int status;
--- a/review/standin/ManyEnds.java
+++ b/review/standin/ManyEnds.java
@@ -19,9 +19,9 @@
   private ManyEnds() {}
 
   static boolean run(boolean trouble) throws IOException, InterruptedException {
-    Cell cell = new Cell(3, 32_000, 131_072);
+    Cell cell = new Cell(3, 32_000, 131_072, 0);
     try {
-      String body = Cell.job(TASK_MILLIS + " x", 1, TASKS_PER_JOB, 50, 64, TASK_MILLIS);
+      String body = Cell.job(1, TASKS_PER_JOB, 50, 64, TASK_MILLIS, 100);
       List<CompletableFuture<Integer>> answers = new ArrayList<>();
       for (int i = 0; i < JOBS; i++) {
         answers.add(cell.client.submit(cell.client.newId(), body));
--- a/review/standin/Node.java
+++ b/review/standin/Node.java
@@ -14,13 +14,15 @@
   private final Path settings;
   private final Path output;
   private final String name;
+  private final int zone;
   final int callerPort;
   private final int readinessPort;
   private Process process;
 
   /** Writes the settings file of a node; {@link #start} starts its process. */
-  Node(Path folder, String name, String zone, String storeAddress) throws IOException {
+  Node(Path folder, String name, int zone, String storeAddress) throws IOException {
     this.name = name;
+    this.zone = zone;
     settings = folder.resolve(name + ".json");
     output = folder.resolve(name + ".log");
     int[] ports = freePorts(3);
@@ -32,7 +34,7 @@
             .put("role", "edge")
             .put("machine-class", "edge")
             .put("ip", "127.0.0.1")
-            .put("zone", zone)
+            .put("zone", "nw-" + (char) ('a' + zone))
             .put("region", "north-west")
             .put("bootstrap", true)
             .put("discovery", "platform")
@@ -102,6 +104,10 @@
     Log.line("node " + name + " started, pid " + process.pid());
   }
 
+  int zone() {
+    return zone;
+  }
+
   String name() {
     return name;
   }
--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -10,12 +10,15 @@
 
 /**
  * Stand-in of one life of a runner. The payload of a task starts with its run time in milliseconds
- * and a blank.
+ * (-1: it lasts), its cpu and its memory, each followed by a blank.
  */
 final class Runner {
 
   static final long HOLD_MAX_MILLIS = 6_000;
 
+  /** Time of three heartbeats, after which the entry of a silent runner is removed. */
+  static final long LAPSE_MILLIS = 4_500;
+
   /** Ends that one answer lists at most. */
   static final int ENDS_PER_ANSWER = 500;
 
@@ -26,6 +29,8 @@
     final int number;
     final long startedMillis;
     final long workMillis;
+    final long cpu;
+    final long memoryMb;
     long endedMillis = -1;
     String how = "";
     long endNumber;
@@ -36,12 +41,21 @@
     /** Whether the runner's lease lapsed between the end and its acknowledgement. */
     boolean lapsedBetween;
 
-    Run(Runner runner, String task, int number, long startedMillis, long workMillis) {
+    Run(
+        Runner runner,
+        String task,
+        int number,
+        long startedMillis,
+        long workMillis,
+        long cpu,
+        long memoryMb) {
       this.runner = runner;
       this.task = task;
       this.number = number;
       this.startedMillis = startedMillis;
       this.workMillis = workMillis;
+      this.cpu = cpu;
+      this.memoryMb = memoryMb;
     }
   }
 
@@ -64,6 +78,7 @@
   private long untilMillis;
   private long endCount;
   private long seq;
+  private boolean crashed;
 
   Runner(Store store, String id, long cpu, long memoryMb, String zone, String rack)
       throws IOException {
@@ -81,7 +96,7 @@
 
   private void work() {
     try {
-      for (long n = 0; ; n++) {
+      for (long n = 0; !crashed; n++) {
         if (n % 300 == 0) {
           beat();
         }
@@ -112,6 +127,7 @@
     store.put("servers/" + id, n.toString());
   }
 
+
   private long clock() {
     return Log.now() - bornMillis;
   }
@@ -119,7 +135,7 @@
   private void endDue() {
     boolean lapsed = untilMillis <= clock();
     for (Run r : List.copyOf(running.values())) {
-      if (Log.now() >= r.startedMillis + r.workMillis) {
+      if (r.workMillis >= 0 && Log.now() >= r.startedMillis + r.workMillis) {
         end(r, "done");
       } else if (lapsed) {
         end(r, "lapsed");
@@ -143,12 +159,39 @@
     notifyAll();
   }
 
+  /** Ends this life for good: connections are refused, and the entry lapses after three beats. */
+  void crash() {
+    losePower();
+    http.stop();
+  }
+
+  /** Ends this life for good: nothing is answered, and the entry lapses after three beats. */
+  synchronized void losePower() {
+    crashed = true;
+    for (Run r : List.copyOf(running.values())) {
+      end(r, "crashed");
+    }
+  }
+
+  /** Returns the cpu that its running tasks leave free; 0 after a crash. */
+  synchronized long freeCpu() {
+    return crashed ? 0 : cpu - running.values().stream().mapToLong(r -> r.cpu).sum();
+  }
+
+  /** Returns the memory that its running tasks leave free; 0 after a crash. */
+  synchronized long freeMemoryMb() {
+    return crashed ? 0 : memoryMb - running.values().stream().mapToLong(r -> r.memoryMb).sum();
+  }
+
   synchronized int runningCount() {
     return running.size();
   }
 
   private Http.Answer handle(Http.Request r) throws InterruptedException {
     synchronized (this) {
+      if (crashed) {
+        wait();
+      }
       if (!id.equals(r.headers().get("dandelionport-expected-instance"))) {
         return Http.Answer.of(421);
       }
@@ -191,9 +234,16 @@
     } else if (b.path("until-ms").asLong() <= clock()) {
       return refuse("late");
     }
-    String spec = b.path("spec").asText();
+    String[] spec = b.path("spec").asText().split(" ");
     Run r =
-        new Run(this, task, number, Log.now(), Long.parseLong(spec.substring(0, spec.indexOf(' '))));
+        new Run(
+            this,
+            task,
+            number,
+            Log.now(),
+            Long.parseLong(spec[0]),
+            Long.parseLong(spec[1]),
+            Long.parseLong(spec[2]));
     running.put(task, r);
     synchronized (ALL) {
       ALL.add(r);
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -56,6 +56,12 @@
     return true;
   }
 
+  /** Removes a key as the store does with the entry of a silent runner. */
+  synchronized void remove(String key) {
+    revision++;
+    delete(key);
+  }
+
   /** Takes the store down (each call is answered with 503 and does nothing) or up again. */
   synchronized void setDown(boolean isDown) {
     if (isDown && !down) {
