--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -16,7 +16,20 @@
   private Main() {}
 
   public static void main(String[] args) {
-    Path folder = Path.of(args[1]).toAbsolutePath();
+    int status;
+    try {
+      status = run(args[0], Path.of(args[1]).toAbsolutePath());
+    } catch (Throwable e) {
+      // Also an error of the virtual machine must not look like a broken rule.
+      System.out.println("the case could not run: " + e);
+      e.printStackTrace();
+      status = COULD_NOT_RUN;
+    }
+    Node.killAll();
+    Runtime.getRuntime().halt(status);
+  }
+
+  private static int run(String name, Path folder) throws IOException, InterruptedException {
     Log.open(folder.resolve("record.txt"));
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Runtime.getRuntime().addShutdownHook(new Thread(Node::killAll));
@@ -35,24 +48,15 @@
     limit.setDaemon(true);
     limit.start();
     Case c =
-        switch (args[0]) {
+        switch (name) {
           case "large-batch" -> LargeBatch::run;
           case "many-ends" -> ManyEnds::run;
           case "lasting" -> Lasting::run;
           case "zone-loss" -> ZoneLoss::run;
-          default -> throw new IllegalArgumentException(args[0]);
+          default -> throw new IllegalArgumentException(name);
         };
-    int status;
-    try {
-      boolean held = c.run(trouble);
-      Log.say(held ? "the rule held" : "the rule was broken");
-      status = held ? 0 : BROKEN;
-    } catch (IOException | InterruptedException | RuntimeException e) {
-      Log.say("the case could not run: " + e);
-      e.printStackTrace();
-      status = COULD_NOT_RUN;
-    }
-    Node.killAll();
-    Runtime.getRuntime().halt(status);
+    boolean held = c.run(trouble);
+    Log.say(held ? "the rule held" : "the rule was broken");
+    return held ? 0 : BROKEN;
   }
 }
