Conclude nothing from a run's absence while ends may be left out

Cause: a runner lists at most 500 ends in an answer; the others follow once these are acknowledged. RunnerReportHandler took the answer for complete: a run that it named neither as running nor as ended was ended as lost or as never started, and its task was started again. The end listed later showed that it had been done. The same happens to a running owner while the store is down, and to the runs of a restarted runner (handleNewIncarnation).

The fake runners did not notice such a start before: they compared starts with acknowledged ends only, while the rule also names ends that are acknowledged later.

Decisions from absence wait for a complete report; the runs keep their capacity until then. Acknowledging what is listed brings that report, so the wait ends by itself. Decisions from absence stand in one place now, also those on a new incarnation.

Why this works: ends are acknowledged only after they were handled and are durable, so a complete report names every end that was not handled yet.

--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerReport.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerReport.java
@@ -10,9 +10,15 @@
  * @param clockMillis the runner's clock when it sent the report
  * @param running runs that hold a lease
  * @param ends ended runs that were not acknowledged yet, by ascending number
+ * @param endsComplete whether {@code ends} certainly contains all of them; a runner lists further
+ *     ones only after these are acknowledged
  */
 public record RunnerReport(
-    long incarnation, long clockMillis, List<Running> running, List<End> ends) {
+    long incarnation,
+    long clockMillis,
+    List<Running> running,
+    List<End> ends,
+    boolean endsComplete) {
 
   /** Copies the lists. */
   public RunnerReport {
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
@@ -5,7 +5,6 @@
 import dev.dandelionport.core.workflow.RunnerReport.End;
 import dev.dandelionport.core.workflow.RunnerReport.Running;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -29,7 +28,7 @@
    */
   void handle(Runner r, RunnerReport report, long sentMillis) {
     if (r.incarnation != report.incarnation()) {
-      handleNewIncarnation(r, report, sentMillis);
+      beginIncarnation(r, report.incarnation());
     }
     r.ownerConfirmed = true;
     r.unresponsive = false;
@@ -50,43 +49,26 @@
         handleRunning(run, x);
       }
     }
-    for (Run run : new ArrayList<>(r.runs)) {
+    for (Run run : List.copyOf(r.runs)) {
       if (!present.contains(run)) {
-        handleAbsent(run, sentMillis);
+        handleUnlisted(run, report.endsComplete(), sentMillis);
       }
     }
   }
 
-  /**
-   * Handles the first report of a new incarnation of a runner. The runs of the previous one are
-   * lost, but a start in transit may have reached the new one.
-   */
-  private void handleNewIncarnation(Runner r, RunnerReport report, long sentMillis) {
-    final boolean firstReport = r.incarnation == 0;
-    r.incarnation = report.incarnation();
+  private void beginIncarnation(Runner r, long incarnation) {
+    if (r.incarnation != 0) {
+      cell.log(Topic.RUNNER_REBORN, "runner", r.id(), "born", incarnation, "runs", r.runs.size());
+    }
+    r.incarnation = incarnation;
     r.lastEndNumber = 0;
     r.health.reset();
-    if (!firstReport) {
-      cell.log(Topic.RUNNER_REBORN, "runner", r.id(), "born", r.incarnation, "runs", r.runs.size());
-    }
-    Set<Run> kept = new HashSet<>();
-    report.running().forEach(x -> kept.add(r.findRun(x.task(), x.run())));
-    report.ends().forEach(x -> kept.add(r.findRun(x.task(), x.run())));
-    for (Run run : new ArrayList<>(r.runs)) {
-      boolean confirmedBefore = run.confirmedMillis > 0 && run.confirmedMillis < sentMillis;
-      if (kept.contains(run) || run.phase == Phase.CONFIRMED && !confirmedBefore) {
-        run.incarnation = r.incarnation;
-      } else if (run.incarnation != r.incarnation && (run.inherited || confirmedBefore)) {
-        runs.end(run, RunEnd.LOST, run.checkpoint);
-      } else if (run.incarnation != r.incarnation && run.stopReason == null) {
-        runs.stop(run, Stop.UNANSWERED);
-      }
-    }
   }
 
   private void handleEnd(Runner r, End e) {
     Run run = r.findRun(e.task(), e.run());
     if (run != null) {
+      run.incarnation = r.incarnation;
       runs.end(run, e.outcome(), e.checkpoint());
     } else if (e.outcome() == RunEnd.DONE) {
       // The run was given up while the runner was silent, but had completed before its lease ended.
@@ -96,6 +78,7 @@
 
   private void handleRunning(Run run, Running x) {
     confirm(run);
+    run.incarnation = run.runner.incarnation;
     if (!x.checkpoint().equals(run.checkpoint)) {
       run.checkpoint = x.checkpoint();
       run.checkpointMillis = cell.now;
@@ -119,12 +102,32 @@
     }
   }
 
-  private void handleAbsent(Run run, long sentMillis) {
+  /**
+   * Handles a run that a report names neither as running nor as ended. Without the complete ends,
+   * this does not show whether the run has ended as done.
+   */
+  private void handleUnlisted(Run run, boolean endsComplete, long sentMillis) {
+    boolean ofThisIncarnation = run.incarnation == run.runner.incarnation;
+    if (!ofThisIncarnation
+        && !run.inherited
+        && run.phase != Phase.CONFIRMED
+        && run.stopReason == null) {
+      // A start in transit may reach the new incarnation.
+      runs.stop(run, Stop.UNANSWERED);
+    }
+    if (endsComplete) {
+      handleAbsent(run, ofThisIncarnation, sentMillis);
+    }
+  }
+
+  /** Handles a run that its runner neither runs nor lists among all of its ends. */
+  private void handleAbsent(Run run, boolean ofThisIncarnation, long sentMillis) {
+    boolean confirmed = run.phase == Phase.CONFIRMED;
     if (run.inherited) {
       // Since its first report to this owner, the runner refuses orders of previous owners.
-      boolean wasConfirmed = run.phase == Phase.CONFIRMED;
-      runs.end(run, wasConfirmed ? RunEnd.LOST : RunEnd.NEVER_STARTED, run.checkpoint);
-    } else if (run.phase == Phase.CONFIRMED && run.confirmedMillis < sentMillis) {
+      boolean mayHaveStarted = confirmed || !ofThisIncarnation;
+      runs.end(run, mayHaveStarted ? RunEnd.LOST : RunEnd.NEVER_STARTED, run.checkpoint);
+    } else if (confirmed && run.confirmedMillis < sentMillis) {
       runs.end(run, RunEnd.LOST, run.checkpoint);
     } else if (run.phase == Phase.UNCONFIRMED
         && run.stopAckMillis > 0
--- a/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
@@ -30,6 +30,9 @@
   private static final long RUN_MILLIS = 400;
   private static final long MAX_HOLD_MILLIS = 6_000;
 
+  /** Maximum number of ends in a report; the others follow once these are acknowledged. */
+  private static final int MAX_REPORTED_ENDS = 2;
+
   /**
    * Time after which a hold call fails if its runner is disconnected while the call waits, in
    * milliseconds.
@@ -299,7 +302,10 @@
         }
         List<RunnerReport.Running> running = new ArrayList<>();
         s.running.forEach((t, p) -> running.add(new RunnerReport.Running(t, p.run(), "", 100, 1)));
-        RunnerReport r = new RunnerReport(s.incarnation, clockMillis(s), running, s.ends);
+        List<RunnerReport.End> ends = s.ends.stream().limit(MAX_REPORTED_ENDS).toList();
+        RunnerReport r =
+            new RunnerReport(
+                s.incarnation, clockMillis(s), running, ends, ends.size() < MAX_REPORTED_ENDS);
         process.accept(() -> f.complete(new HoldAnswer(false, r)));
       }
     };
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformInvariants.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformInvariants.java
@@ -46,6 +46,9 @@
     }
   }
 
+  /** A run that ended as done; {@code key} is that under which failures are recorded. */
+  private record DoneRun(TaskKey key, int run) {}
+
   /** A start order that a runner is about to execute. */
   record Start(TaskKey task, int run, String runner, String checkpoint, boolean late) {}
 
@@ -53,6 +56,13 @@
   final List<String> violations = new ArrayList<>();
   final Map<String, ResourceVector> ceilings = new HashMap<>();
   private final Set<TaskKey> done = new HashSet<>();
+
+  /** Runs that ended as done, by the key under which failures are recorded. */
+  private final Map<TaskKey, Set<Integer>> doneRuns = new HashMap<>();
+
+  /** Starts after the end of a run as done, which are violations once that end is acknowledged. */
+  private final Map<DoneRun, List<String>> startsAfterDone = new HashMap<>();
+
   private final Set<TaskKey> acknowledgedDone = new HashSet<>();
   private final Map<TaskKey, Set<Integer>> failures = new HashMap<>();
   private final Map<TaskKey, Set<Integer>> acknowledgedFailures = new HashMap<>();
@@ -91,8 +101,9 @@
     checkpoints.computeIfAbsent(accountingKey(t), k -> new HashSet<>()).add(value);
   }
 
-  void recordDone(TaskKey t) {
+  void recordDone(TaskKey t, int run) {
     done.add(t);
+    doneRuns.computeIfAbsent(accountingKey(t), k -> new HashSet<>()).add(run);
     if (stepSpec(t).gang()) {
       for (int i = 0; i < stepSpec(t).tasks(); i++) {
         done.add(new TaskKey(t.workflow(), t.occurrence(), t.step(), i));
@@ -104,8 +115,13 @@
     failures.computeIfAbsent(accountingKey(t), k -> new HashSet<>()).add(run);
   }
 
-  void recordAcknowledgedDone(TaskKey t) {
+  /** Records that the end of a run as done was acknowledged before its runner's lease expired. */
+  void recordAcknowledgedDone(TaskKey t, int run) {
     acknowledgedDone.add(t);
+    List<String> starts = startsAfterDone.remove(new DoneRun(accountingKey(t), run));
+    if (starts != null) {
+      starts.forEach(x -> violations.add(x + "its run " + run + " was done"));
+    }
   }
 
   void recordAcknowledgedFailed(TaskKey t, int run) {
@@ -168,6 +184,11 @@
     if (acknowledgedDone.contains(s.task())) {
       violations.add(start + "its end as done was acknowledged");
     }
+    for (int run : doneRuns.getOrDefault(accountingKey(s.task()), Set.of())) {
+      startsAfterDone
+          .computeIfAbsent(new DoneRun(accountingKey(s.task()), run), k -> new ArrayList<>())
+          .add(start);
+    }
     if (now < w.recurrence.dueMillis(s.task().occurrence())) {
       violations.add(start + "its occurrence is not due yet");
     }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunners.java
@@ -32,6 +32,9 @@
   private static final long MAX_STOP_MILLIS = 200;
   static final long POLL_MILLIS = 10;
 
+  /** Maximum number of ends in a report; the others follow once these are acknowledged. */
+  private static final int MAX_REPORTED_ENDS = 4;
+
   /** How a runner executes start orders. */
   enum Mode {
     HEALTHY,
@@ -207,7 +210,7 @@
         new RunnerReport.End(
             ++incarnation.lastEndNumber, t, active.run, outcome, active.checkpoint));
     if (outcome == RunEnd.DONE) {
-      invariants.recordDone(t);
+      invariants.recordDone(t, active.run);
       finishGang(t, active.run);
     } else {
       if (outcome == RunEnd.FAILED) {
@@ -369,7 +372,7 @@
       if (e.number() <= acked) {
         incarnation.ends.remove(e);
         if (e.outcome() == RunEnd.DONE && !incarnation.endsBeforeLeaseExpiry.contains(e.number())) {
-          invariants.recordAcknowledgedDone(e.task());
+          invariants.recordAcknowledgedDone(e.task(), e.run());
         } else if (e.outcome() == RunEnd.FAILED
             && !incarnation.endsBeforeLeaseExpiry.contains(e.number())) {
           invariants.recordAcknowledgedFailed(e.task(), e.run());
@@ -383,10 +386,12 @@
     List<RunnerReport.Running> running = new ArrayList<>();
     incarnation.running.forEach(
         (t, p) -> running.add(new RunnerReport.Running(t, p.run, p.checkpoint, 100, 1)));
+    List<RunnerReport.End> ends = incarnation.ends.stream().limit(MAX_REPORTED_ENDS).toList();
     return new RunnerReport(
         incarnation.wallStartMillis,
         incarnation.clockMillis(time.nowMillis()),
         running,
-        incarnation.ends);
+        ends,
+        ends.size() < MAX_REPORTED_ENDS);
   }
 }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/RunnerLinkTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/RunnerLinkTest.java
@@ -8,6 +8,8 @@
 import dev.dandelionport.core.workflow.WorkflowState;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class RunnerLinkTest {
 
@@ -15,6 +17,25 @@
     return StepSpecs.of(tasks, new ResourceVector(0, 0, 5_000, 100, 0), 400);
   }
 
+  // A runner lists only some of its ends until they are acknowledged. Runs whose ends were left out
+  // were taken for runs that had never started, and their tasks ran again.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void tasksWhoseEndsDoNotFitIntoOneReportRunOnce(long seed) {
+    PlatformCluster cell = new PlatformCluster(seed);
+    cell.time.runFor(2_000);
+    StepSpec s = StepSpecs.of(240, new ResourceVector(0, 0, 250, 25, 0), 800);
+    cell.submit(cell.cluster.anyNode(), "w", PlatformCluster.URGENT, "a", List.of(s));
+    assertThat(cell.time.runUntil(() -> cell.runners.starts >= 240, 2_000)).isTrue();
+    List<String> nodes = List.copyOf(cell.cluster.nodes.keySet());
+    nodes.forEach(cell.cluster::kill);
+    cell.time.runFor(1_500);
+    nodes.forEach(cell.cluster::start);
+    cell.time.runFor(30_000);
+    assertThat(cell.state("w")).contains(WorkflowState.COMPLETED);
+    assertThat(cell.invariants.violations).isEmpty();
+  }
+
   // A runner whose wall clock was set back during a restart was mistaken for its earlier
   // incarnation: its reports were dropped, its ends were not processed, and its runs never ended.
   @Test
--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
@@ -88,7 +88,7 @@
     }
     scheduler.setRunners(list);
     for (String id : runners) {
-      scheduler.report(id, new RunnerReport(1, now, List.of(), List.of()), now);
+      scheduler.report(id, new RunnerReport(1, now, List.of(), List.of(), true), now);
     }
     carryOut();
   }
@@ -235,7 +235,7 @@
       var end = new RunnerReport.End(++lastEndNumber, s.task(), s.run(), RunEnd.DONE, "");
       // The report's call was sent long ago, so missing runs do not count as lost.
       scheduler.report(
-          s.runner(), new RunnerReport(1, now, List.of(), List.of(end)), now - 100_000);
+          s.runner(), new RunnerReport(1, now, List.of(), List.of(end), true), now - 100_000);
     }
     carryOut();
   }
@@ -243,7 +243,7 @@
   /** Restarts a runner that has no runs. */
   void restartRunner(String runner) {
     updateTime();
-    scheduler.report(runner, new RunnerReport(2, now, List.of(), List.of()), now);
+    scheduler.report(runner, new RunnerReport(2, now, List.of(), List.of(), true), now);
     carryOut();
   }
 
--- a/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
@@ -326,7 +326,7 @@
           savedIntervals == 0 ? "" : Long.toString(savedIntervals * CHECKPOINT_MILLIS);
       list.add(new RunnerReport.Running(a.start.task(), a.start.run(), checkpoint, 100, 0));
     }
-    scheduler.report(runner, new RunnerReport(1, now, list, unreportedEnds.get(runner)), now);
+    scheduler.report(runner, new RunnerReport(1, now, list, unreportedEnds.get(runner), true), now);
     unreportedEnds.get(runner).clear();
   }
 
--- a/core/src/test/java/dev/dandelionport/core/workflow/FirstAdviceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/FirstAdviceTest.java
@@ -44,7 +44,7 @@
     }
     scheduler.setRunners(list);
     list.forEach(
-        r -> scheduler.report(r.id(), new RunnerReport(1, 1, List.of(), List.of()), 1_000));
+        r -> scheduler.report(r.id(), new RunnerReport(1, 1, List.of(), List.of(), true), 1_000));
   }
 
   private Optional<AdviceRequest> submit(String id) {
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
@@ -24,15 +24,22 @@
   private long lastEndNumber;
 
   WorkflowFixture() {
-    updateTime();
-    scheduler.setPolicy(policy(1, ResourceVector.ZERO));
-    updateRunners();
+    this(List.of());
     for (String id : List.of("r1", "r2")) {
       report(id, 1, List.of(), List.of());
     }
     effects.clear();
   }
 
+  /** Creates the scheduler of an owner that has read a history but no report of a runner. */
+  WorkflowFixture(List<WorkflowRecord> history) {
+    updateTime();
+    history.forEach(scheduler::replay);
+    scheduler.finishReplay();
+    scheduler.setPolicy(policy(1, ResourceVector.ZERO));
+    updateRunners();
+  }
+
   static ClusterPolicy policy(long version, ResourceVector ceiling) {
     Map<String, Queue> queues = Map.of("urgent", queue("urgent", 0), "batch", queue("batch", 2));
     Map<String, Account> accounts = Map.of("a", new Account("a", List.of("key"), 1_000, ceiling));
@@ -133,6 +140,12 @@
   /** Sends the collected starts and answers all of them with the same result. */
   List<WorkflowEffect.Start> answerStarts(StartResult result) {
     List<WorkflowEffect.Start> list = starts();
+    answerStarts(list, result);
+    return list;
+  }
+
+  /** Sends starts and answers all of them with the same result. */
+  void answerStarts(List<WorkflowEffect.Start> list, StartResult result) {
     for (WorkflowEffect.Start s : list) {
       updateTime();
       if (scheduler.prepareStart(s.task(), s.run(), s.runner()).isPresent()) {
@@ -140,7 +153,6 @@
       }
     }
     collectDecision();
-    return list;
   }
 
   void end(WorkflowEffect.Start s, RunEnd outcome, String checkpoint) {
@@ -169,7 +181,7 @@
       List<RunnerReport.End> list,
       long sentMillis) {
     updateTime();
-    scheduler.report(runner, new RunnerReport(incarnation, now, running, list), sentMillis);
+    scheduler.report(runner, new RunnerReport(incarnation, now, running, list, true), sentMillis);
     collectDecision();
   }
 
--- a/standin/src/main/java/dev/dandelionport/standin/fleet/FleetRunner.java
+++ b/standin/src/main/java/dev/dandelionport/standin/fleet/FleetRunner.java
@@ -20,6 +20,8 @@
 
   private static final long DEFAULT_RUN_MILLIS = 5;
 
+  private static final int MAX_LISTED_FINISHED_RUNS = 500;
+
   /** A run that has not ended. */
   public record ActiveRun(String task, int run, long endsMillis, boolean fails) {}
 
@@ -115,8 +117,8 @@
     return List.copyOf(active.values());
   }
 
-  /** Returns the finished runs that have not been acknowledged. */
+  /** Returns the first 500 of the finished runs that have not been acknowledged. */
   public List<FinishedRun> finishedRuns() {
-    return List.copyOf(unacknowledged);
+    return unacknowledged.stream().limit(MAX_LISTED_FINISHED_RUNS).toList();
   }
 }
