Fail a list whose pages end early

What callers would see: an owner that replays a history without its end, and so forgets accepted work or starts done work again.

Cause: SharedStore.listAll took a list for complete when a page had no entries, also if the store said that more follow. Change: PageReader reads pages until none follows and fails if one does not get further; the callers retry, as for a call without an answer.

Evidence: PageReaderTest.emptyPageThatIsNotTheLastIsAnError fails with the former condition.

--- a/core/src/main/java/dev/dandelionport/core/port/SharedStore.java
+++ b/core/src/main/java/dev/dandelionport/core/port/SharedStore.java
@@ -1,6 +1,5 @@
 package dev.dandelionport.core.port;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -91,27 +90,12 @@
   CompletableFuture<Page> list(String prefix, String after);
 
   /**
-   * Reads all keys that start with {@code prefix}, page by page. The returned revision is that of
-   * the first page, so later pages may already contain newer changes.
+   * Reads all keys that start with {@code prefix}, page by page; fails unless all pages were read.
+   * The returned revision is that of the first page, so later pages may already contain newer
+   * changes.
    */
   default CompletableFuture<Page> listAll(String prefix) {
-    return list(prefix, "").thenCompose(first -> listRemaining(prefix, first));
-  }
-
-  private CompletableFuture<Page> listRemaining(String prefix, Page previous) {
-    if (!previous.hasMore() || previous.entries().isEmpty()) {
-      return CompletableFuture.completedFuture(
-          new Page(previous.entries(), false, previous.revision()));
-    }
-    String last = previous.entries().get(previous.entries().size() - 1).key();
-    return list(prefix, last)
-        .thenCompose(
-            next -> {
-              List<Entry> all = new ArrayList<>(previous.entries());
-              all.addAll(next.entries());
-              boolean more = next.hasMore() && !next.entries().isEmpty();
-              return listRemaining(prefix, new Page(all, more, previous.revision()));
-            });
+    return PageReader.readAll(after -> list(prefix, after));
   }
 
   /**
