Do not count changes that may be cut off as confirming the copy

What callers would see: a key that was withdrawn is accepted for up to 3.5 s longer than allowed, when the store cuts off the changes of a watch and the call for the rest gets no answer. The protocol names a bound for pages only (about 500 items or 1 MB), so it is not known whether the store ever cuts off changes.

Cause: PrefixWatch took each answer to a watch for all changes up to the time of the call, and the configuration counts as current for 3.5 s from there.

Evidence: the new fake store cuts off after 3 changes, in all tests of the dispatch package; PrefixWatchTest fails on the code before (confirmed at 771479 instead of 769032 with version 3 of 7).

--- a/core/src/main/java/dev/dandelionport/core/dispatch/PrefixWatch.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/PrefixWatch.java
@@ -28,6 +28,10 @@
   private final TreeMap<String, Entry> entries = new TreeMap<>();
   private long revision;
   private boolean listed;
+
+  /** Whether the latest changes may not have been all. */
+  private boolean cutOff;
+
   private boolean stopped;
   private boolean failing;
   private long failingSinceMillis;
@@ -125,10 +129,12 @@
     }
     long sentMillis = context.nowMillis();
     long afterRevision = revision;
+    // The rest of changes that were cut off is there already, if there is one.
+    long callMillis = cutOff ? 0 : waitMillis;
     shard.runAfterUnlock(
         () ->
             store
-                .awaitChanges(prefix, afterRevision, waitMillis)
+                .awaitChanges(prefix, afterRevision, callMillis)
                 .whenComplete((c, e) -> shard.run(() -> changesReceived(c, e, sentMillis))));
   }
 
@@ -146,7 +152,10 @@
       return;
     }
     recordAnswer();
-    confirmedMillis = Math.max(confirmedMillis, sentMillis);
+    cutOff = !c.complete();
+    if (!cutOff) {
+      confirmedMillis = Math.max(confirmedMillis, sentMillis);
+    }
     for (Change x : c.changes()) {
       if (x.deleted()) {
         entries.remove(x.entry().key());
--- a/core/src/main/java/dev/dandelionport/core/port/SharedStore.java
+++ b/core/src/main/java/dev/dandelionport/core/port/SharedStore.java
@@ -37,8 +37,11 @@
   /** A key that was written or deleted. */
   record Change(Entry entry, boolean deleted) {}
 
-  /** Changes in order; later changes have revisions above {@code revision}. */
-  record Changes(List<Change> changes, long revision) {
+  /**
+   * Changes in order; later changes have revisions above {@code revision}. {@code complete} is true
+   * if there certainly were no later ones when the store answered.
+   */
+  record Changes(List<Change> changes, long revision, boolean complete) {
     /** Copies the list. */
     public Changes {
       changes = List.copyOf(changes);
--- a/core/src/test/java/dev/dandelionport/core/dispatch/FakeSharedStore.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeSharedStore.java
@@ -24,6 +24,9 @@
   private static final long POLL_MILLIS = 5;
   private static final long LATE_WRITE_MILLIS = 3_000;
 
+  /** Number of changes after which an answer ends with the next revision. */
+  private static final int CHANGES_PER_ANSWER = 3;
+
   private final VirtualTime time;
   private final TreeMap<String, SharedStore.Entry> entries = new TreeMap<>();
   private final List<SharedStore.Change> history = new ArrayList<>();
@@ -213,12 +216,7 @@
                 if (after < compacted) {
                   throw new HistoryCompactedException("revision has been compacted");
                 }
-                return new Changes(
-                    history.stream()
-                        .filter(c -> c.entry().revision() > after)
-                        .filter(c -> c.entry().key().startsWith(prefix))
-                        .toList(),
-                    revision);
+                return changes(prefix, after);
               })
           .whenComplete(
               (c, e) -> {
@@ -232,6 +230,24 @@
               });
     }
 
+    private Changes changes(String prefix, long after) {
+      List<Change> changes = new ArrayList<>();
+      for (Change c : history) {
+        long changed = c.entry().revision();
+        if (changed <= after || !c.entry().key().startsWith(prefix)) {
+          continue;
+        }
+        if (changes.size() >= CHANGES_PER_ANSWER) {
+          long last = changes.get(changes.size() - 1).entry().revision();
+          if (changed > last) {
+            return new Changes(changes, last, false);
+          }
+        }
+        changes.add(c);
+      }
+      return new Changes(changes, revision, true);
+    }
+
     @Override
     public CompletableFuture<Outcome> commit(Transaction t) {
       return call(true, () -> apply(t));
