Refuse range responses of etcd without a header

What callers would see: "{}" in answer to a range request was read as an empty list, so a key or all keys of a prefix counted as absent.

Evidence: EtcdStoreTest.brokenAnswersBecomeStoreUnavailable, with "{}" and with list() added, failed before.

--- a/node/src/main/java/dev/dandelionport/node/connection/EtcdStore.java
+++ b/node/src/main/java/dev/dandelionport/node/connection/EtcdStore.java
@@ -59,14 +59,14 @@
   @Override
   public CompletableFuture<Optional<StoreEntry>> get(String key) {
     ObjectNode request = JSON.createObjectNode().put("key", encode(key));
-    return post("/v3/kv/range", request, r -> decodeEntries(r).stream().findFirst());
+    return post("/v3/kv/range", request, r -> decodeRange(r).stream().findFirst());
   }
 
   @Override
   public CompletableFuture<List<StoreEntry>> list(String prefix) {
     ObjectNode request = JSON.createObjectNode();
     request.put("key", encode(prefix)).put("range_end", encode(prefixEnd(prefix)));
-    return post("/v3/kv/range", request, this::decodeEntries);
+    return post("/v3/kv/range", request, this::decodeRange);
   }
 
   @Override
@@ -220,6 +220,14 @@
     }
   }
 
+  /** Decodes a range response, which has a header even if the gateway omits an empty list. */
+  private List<StoreEntry> decodeRange(JsonNode response) {
+    if (!response.path("header").isObject()) {
+      throw new IllegalArgumentException("range response has no header");
+    }
+    return decodeEntries(response);
+  }
+
   private List<StoreEntry> decodeEntries(JsonNode response) {
     if (response.path("more").asBoolean()) {
       throw new IllegalArgumentException("range response is incomplete");
--- a/node/src/test/java/dev/dandelionport/node/connection/EtcdStoreTest.java
+++ b/node/src/test/java/dev/dandelionport/node/connection/EtcdStoreTest.java
@@ -195,6 +195,7 @@
         new String[] {
           "",
           "[]",
+          "{}",
           "nonsense",
           "{\"error\":{\"message\":\"timeout\"}}",
           "{\"kvs\":[{\"key\":\"!\"}]}",
@@ -205,6 +206,7 @@
       body.set(text);
       if (!text.contains("succeeded")) {
         assertUnavailable(text, s.get("/k"));
+        assertUnavailable(text, s.list("/"));
       }
       assertUnavailable(text, s.compareAndSwap("/k", 0, bytes("v"), 0));
       assertUnavailable(text, s.keepAlive(1));
