End the probe of a held runner by a task that lasts

What callers would see: a healthy runner gets no more work while the lasting task that probed it runs.

Cause: a held runner accepts one run as a probe, and the probe ends with the run. A task that lasts has no end.

Change: a run that lasts is no longer a probe after 2 s at work, so that another run may probe its runner or the hold ends.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
@@ -35,6 +35,9 @@
   /** Time added to each of these limits, in milliseconds. */
   private static final long GRACE_MILLIS = 600;
 
+  /** Time at work after which a run that lasts is no longer a probe, in milliseconds. */
+  private static final long LASTING_PROBE_MILLIS = 2_000;
+
   private final CellState cell;
   private final RunLifecycle runs;
   private final GangPlacement gangs;
@@ -92,7 +95,14 @@
       return;
     }
     Step s = x.task.step;
-    if (x.phase != Phase.CONFIRMED || s.spec.longRunning() || x.startSentMillis == 0) {
+    if (x.phase != Phase.CONFIRMED) {
+      return;
+    }
+    if (s.spec.longRunning()) {
+      endLastingProbe(x);
+      return;
+    }
+    if (x.startSentMillis == 0) {
       return;
     }
     String reason = s.spec.bestEffort() ? "" : stuckReason(x, s);
@@ -110,6 +120,16 @@
     }
   }
 
+  /**
+   * Ends a probe by a run that is at work and will not end, so that others can probe its runner.
+   */
+  private void endLastingProbe(Run x) {
+    if (x.probe && cell.now - x.confirmedMillis >= LASTING_PROBE_MILLIS) {
+      x.probe = false;
+      x.runner.health.recordInconclusiveProbe();
+    }
+  }
+
   private void logQuarantine(Runner r, boolean quarantined, String cause) {
     cell.log(Topic.RUNNER_HELD, "runner", r.id(), "held", quarantined, "cause", cause);
   }
--- a/core/src/test/java/dev/dandelionport/core/workflow/WatchdogTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WatchdogTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.testing.StepSpecs;
 import dev.dandelionport.core.workflow.WorkflowEffect.Start;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -10,6 +12,8 @@
 
   private static final long TICK_MILLIS = 100;
 
+  private static final ResourceVector ONE_CORE = new ResourceVector(0, 0, 1_000, 100, 0);
+
   private final WorkflowFixture fixture = new WorkflowFixture();
 
   private void finishShortTasks(int count) {
@@ -105,4 +109,20 @@
     fixture.place();
     assertThat(fixture.starts()).hasSize(3);
   }
+
+  // Guards against a healthy runner that gets no more work: the task that probed it lasts, so the
+  // probe never ended.
+  @Test
+  void runnerWhoseProbeLastsGetsWorkAgain() {
+    fixture.quarantineOnlyRunner();
+    fixture.now += 8_000;
+    fixture.submit("service", "batch", StepSpecs.longRunning(1, ONE_CORE));
+    List<Start> probe = fixture.answerStarts(StartResult.PRESENT);
+    assertThat(probe).hasSize(1);
+    fixture.submit("w", "batch", WorkflowFixture.step(1, 100));
+    assertThat(fixture.starts()).as("a second probe").isEmpty();
+    runUntilStopped(probe.get(0), 5_000);
+    fixture.place();
+    assertThat(fixture.starts()).hasSize(1);
+  }
 }
