--- a/core/src/main/java/dev/dandelionport/core/workflow/Runner.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Runner.java
@@ -28,6 +28,9 @@
   /** Highest number of an end that was handled, for the current incarnation. */
   long lastEndNumber;
 
+  /** Whether its latest report may have left out ends. */
+  boolean endsLeftOut;
+
   final RunnerHealth health = new RunnerHealth();
 
   /** Runs that may be active, in the order of their start. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
@@ -49,11 +49,24 @@
         handleRunning(run, x);
       }
     }
-    for (Run run : List.copyOf(r.runs)) {
-      if (!present.contains(run)) {
-        handleUnlisted(run, report.endsComplete(), sentMillis);
-      }
+    List<Run> unlisted = r.runs.stream().filter(x -> !present.contains(x)).toList();
+    unlisted.forEach(x -> handleUnlisted(x, report.endsComplete(), sentMillis));
+    logEndsLeftOut(r, report, unlisted.size());
+  }
+
+  /** Logs the first of several reports in a row that may have left out ends. */
+  private void logEndsLeftOut(Runner r, RunnerReport report, int undecided) {
+    if (!report.endsComplete() && !r.endsLeftOut) {
+      cell.log(
+          Topic.ENDS_LEFT_OUT,
+          "runner",
+          r.id(),
+          "listed",
+          report.ends().size(),
+          "undecided",
+          undecided);
     }
+    r.endsLeftOut = !report.endsComplete();
   }
 
   private void beginIncarnation(Runner r, long incarnation) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
@@ -37,6 +37,7 @@
     RUNNER_REBORN,
     RUNNER_LISTED,
     RUNNER_GONE,
+    ENDS_LEFT_OUT,
     ADVICE
   }
 }
--- a/core/src/test/java/dev/dandelionport/core/workflow/LeftOutEndsTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/LeftOutEndsTest.java
@@ -63,6 +63,24 @@
     }
   }
 
+  // Guards against tasks that wait for the rest of the ends without a line that says so, and
+  // against a line for each report while the store is down.
+  @Test
+  void ownerLogsOnceThatEndsAreLeftOut() {
+    WorkflowFixture f = new WorkflowFixture();
+    List<WorkflowEffect.Start> starts = submit(f);
+    f.answerStarts(starts, StartResult.PRESENT);
+    reportFirstEnds(f, 1, end(1, starts.get(0)));
+    reportFirstEnds(f, 1, end(1, starts.get(0)));
+    assertThat(f.effects)
+        .filteredOn(
+            e ->
+                e instanceof WorkflowEffect.LogEntry n
+                    && n.topic() == WorkflowEffect.Topic.ENDS_LEFT_OUT)
+        .extracting(e -> ((WorkflowEffect.LogEntry) e).fields())
+        .containsExactly(List.of("runner", RUNNER, "listed", 1, "undecided", 1));
+  }
+
   /** Submits a step of two tasks and returns their starts on the only runner that takes work. */
   private static List<WorkflowEffect.Start> submit(WorkflowFixture f) {
     f.draining.add("r2");
