--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -99,18 +99,7 @@
   /** Time at which the current incarnation first answered, on the monotonic clock. */
   private long incarnationSeenMillis;
 
-  private long lastEndNumber;
-  private long durableEndNumber;
-
-  /**
-   * Whether the runner may not have received {@link #durableEndNumber}. The number is sent only
-   * while this is set, because a new incarnation of the runner would apply it to its own ends.
-   */
-  private boolean ackPending;
-
-  /** Whether the runner has reported ends whose records are not durable yet. */
-  private boolean endsNotDurable;
-
+  private final EndAcknowledgement ends = new EndAcknowledgement();
   private final RunnerOrders orders;
   private final CallLimiter.Sender contact = this::callIfNeeded;
   private long nextCallMillis;
@@ -184,12 +173,12 @@
     boolean awaitsReport = owner.scheduler().awaitsReport(runnerId());
     boolean stateUnknown = !answered || owner.scheduler().needsReport(runnerId());
     boolean callNeeded =
-        stateUnknown || failures > 0 || endsNotDurable || ackPending || awaitsReport;
+        stateUnknown || failures > 0 || ends.awaitsJournal() || ends.isDue() || awaitsReport;
     if (!callNeeded && !hasRuns) {
       return;
     }
     long now = context.nowMillis();
-    if ((awaitsReport || ackPending)
+    if ((awaitsReport || ends.isDue())
         && holdPending
         && !statusCallPending
         && now >= nextCallMillis) {
@@ -199,7 +188,7 @@
     if (holdPending || now < nextCallMillis) {
       return;
     }
-    if (endsNotDurable && now - lastSentMillis < MAX_ACK_WAIT_MILLIS) {
+    if (ends.awaitsJournal() && now - lastSentMillis < MAX_ACK_WAIT_MILLIS) {
       return;
     }
     if (!answered) {
@@ -210,8 +199,8 @@
       contacting = true;
     }
     holdPending = true;
-    boolean mayWait = !stateUnknown && failures == 0 && !endsNotDurable && !awaitsReport;
-    sendHold(mayWait && (!ackPending || isIncarnationConfirmed()) ? HOLD_WAIT_MILLIS : 0, false);
+    boolean mayWait = !stateUnknown && failures == 0 && !ends.awaitsJournal() && !awaitsReport;
+    sendHold(mayWait && (!ends.isDue() || isIncarnationConfirmed()) ? HOLD_WAIT_MILLIS : 0, false);
   }
 
   /** Ends the runs on an unresponsive runner once all leases on it have expired. */
@@ -242,7 +231,7 @@
     }
     final long grantedUntilMillis = leaseUntilMillis;
     final Address to = address;
-    final long acked = ackPending && isIncarnationConfirmed() ? durableEndNumber : 0;
+    final long acked = isIncarnationConfirmed() ? ends.numberToSend() : 0;
     shard.runAfterUnlock(
         () ->
             context
@@ -280,9 +269,7 @@
       owner.onFenced();
       return;
     }
-    if (acked == durableEndNumber && acked > 0) {
-      ackPending = false;
-    }
+    ends.acknowledged(acked);
     handleReport(a.report(), sentMillis);
   }
 
@@ -299,10 +286,7 @@
     if (r.incarnation() != incarnation) {
       incarnation = r.incarnation();
       incarnationSeenMillis = lastReportMillis;
-      lastEndNumber = 0;
-      durableEndNumber = 0;
-      ackPending = false;
-      endsNotDurable = false;
+      ends.reset();
       // The waiting orders are for the earlier incarnation, whose runs the scheduler marks as lost.
       orders.clear();
     }
@@ -317,20 +301,16 @@
     leases.updateClock(r.clockMillis());
     owner.scheduler().report(runnerId(), r, sentMillis);
     if (!r.ends().isEmpty()) {
-      long last = r.ends().get(r.ends().size() - 1).number();
-      lastEndNumber = Math.max(lastEndNumber, last);
-      endsNotDurable = lastEndNumber > durableEndNumber;
+      ends.reported(r.ends().get(r.ends().size() - 1).number());
     }
     owner.applyDecisions();
-    if (endsNotDurable) {
-      final long endNumber = lastEndNumber;
+    if (ends.awaitsJournal()) {
+      final long endNumber = ends.reportedNumber();
       final long reportedIncarnation = incarnation;
       owner.whenDurable(
           () -> {
             if (reportedIncarnation == incarnation) {
-              durableEndNumber = Math.max(durableEndNumber, endNumber);
-              ackPending = true;
-              endsNotDurable = lastEndNumber > durableEndNumber;
+              ends.durable(endNumber);
               callIfNeeded();
             }
           });
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PrefixWatchTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PrefixWatchTest.java
@@ -2,13 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.dandelionport.core.common.InstanceId;
 import dev.dandelionport.core.common.Shard;
-import dev.dandelionport.core.port.InstanceInfo;
 import dev.dandelionport.core.port.SharedStore.Entry;
 import dev.dandelionport.core.testing.FakeProcess;
 import dev.dandelionport.core.testing.VirtualTime;
-import dev.dandelionport.core.workflow.WorkflowLimits;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,23 +18,8 @@
   private final VirtualTime time = new VirtualTime(1);
   private final FakeSharedStore store = new FakeSharedStore(time);
   private final FakeProcess process = new FakeProcess(time);
-  private final DispatchContext context =
-      new DispatchContext(
-          new InstanceInfo(new InstanceId("i"), "region", "fd", "127.0.0.1", 1),
-          store.client("i", process::run),
-          null,
-          null,
-          null,
-          null,
-          process,
-          process,
-          () -> new DispatchSettings(1_000, 5_000, 3_500, new WorkflowLimits(1, 1, 1, 1, 1), 1_000),
-          (t, f) -> {});
-  private final Shard shard =
-      new Shard(
-          e -> {
-            throw e;
-          });
+  private final DispatchContext context = StoreContext.of(store.client("i", process::run), process);
+  private final Shard shard = StoreContext.shard();
 
   // Guards against a copy that counts as complete although the store has cut off the changes: a
   // key that was withdrawn would stay in use for longer than allowed if the next answer is lost.
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowJournalTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowJournalTest.java
@@ -2,15 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.dandelionport.core.common.InstanceId;
 import dev.dandelionport.core.common.Shard;
-import dev.dandelionport.core.port.InstanceInfo;
 import dev.dandelionport.core.port.SharedStore;
 import dev.dandelionport.core.port.SharedStore.Write;
 import dev.dandelionport.core.testing.FakeProcess;
 import dev.dandelionport.core.testing.VirtualTime;
 import dev.dandelionport.core.workflow.WorkflowCodec;
-import dev.dandelionport.core.workflow.WorkflowLimits;
 import dev.dandelionport.core.workflow.WorkflowRecord;
 import java.util.ArrayList;
 import java.util.List;
@@ -23,26 +20,12 @@
   private final FakeSharedStore store = new FakeSharedStore(time);
   private final FakeProcess process = new FakeProcess(time);
   private final SharedStore client = store.client("i", process::run);
-  private final Shard shard =
-      new Shard(
-          e -> {
-            throw e;
-          });
+  private final Shard shard = StoreContext.shard();
   private final List<Integer> durable = new ArrayList<>();
   private final List<String> fencedCalls = new ArrayList<>();
 
   private DispatchContext context() {
-    return new DispatchContext(
-        new InstanceInfo(new InstanceId("i"), "region", "fd", "127.0.0.1", 1),
-        client,
-        null,
-        null,
-        null,
-        null,
-        process,
-        process,
-        () -> new DispatchSettings(1_000, 5_000, 3_500, new WorkflowLimits(1, 1, 1, 1, 1), 1_000),
-        (t, f) -> {});
+    return StoreContext.of(client, process);
   }
 
   private <T> T await(java.util.concurrent.CompletableFuture<T> f) {
