Acknowledge ends again that a runner lists again

What callers would see: tasks on one runner never count as ended.

Cause: the answer to a call cleared the acknowledgement that is due whenever its number was the newest one. A delayed answer of a runner's previous incarnation can carry the same number, most easily 500, the length of a full list. The runner was then never told, and lists no later ends until it is.

Change: an answer counts only for its own incarnation, and an end that is listed although it is durable makes the acknowledgement due again.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/EndAcknowledgement.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/EndAcknowledgement.java
@@ -22,9 +22,13 @@
     due = false;
   }
 
-  /** Records the highest number of an end in a report. */
+  /**
+   * Records the highest number of an end in a report. A runner that lists an end which is durable
+   * is told again.
+   */
   void reported(long number) {
     reportedNumber = Math.max(reportedNumber, number);
+    due |= number <= durableNumber;
   }
 
   /** Records that all ends up to a number are durable. */
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -269,7 +269,9 @@
       owner.onFenced();
       return;
     }
-    ends.acknowledged(acked);
+    if (a.report().incarnation() == incarnation) {
+      ends.acknowledged(acked);
+    }
     handleReport(a.report(), sentMillis);
   }
 
