--- a/core/src/test/java/dev/dandelionport/core/dispatch/PrefixWatchTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PrefixWatchTest.java
@@ -41,7 +41,7 @@
     for (int i = 1; i <= 7; i++) {
       store.put("op/config", Integer.toString(i));
     }
-    long beforeMillis = watch[0].confirmedMillis();
+    final long beforeMillis = watch[0].confirmedMillis();
     confirmed.clear();
     store.refusedCallers.clear();
     time.runFor(400);
