--- a/review/standin-2/Cell.java
+++ b/review/standin-2/Cell.java
@@ -144,6 +144,13 @@
 
   record Answer(int status, String body) {}
 
+  /** Sends a signal to an instance. */
+  void signal(int instance, String name) throws Exception {
+    new ProcessBuilder("kill", "-" + name, Long.toString(processes.get(instance).pid()))
+        .start()
+        .waitFor();
+  }
+
   /** Waits until an instance serves; returns false if none does in time. */
   boolean awaitServing(long millis) throws Exception {
     long deadline = Http.now() + millis;
