--- a/review/standin-2/Cell.java
+++ b/review/standin-2/Cell.java
@@ -122,6 +122,16 @@
     return n.toString();
   }
 
+  /** Returns a configuration with a second queue, of priority 0, below /urgent/. */
+  static String configurationWithUrgent() throws Exception {
+    ObjectNode n = (ObjectNode) Http.JSON.readTree(configuration(3, 1));
+    ArrayNode routes = (ArrayNode) n.path("routes");
+    ObjectNode urgent = routes.get(0).deepCopy();
+    urgent.put("name", "q-0").put("prefix", "/urgent/").put("priority", 0);
+    routes.add(urgent);
+    return n.toString();
+  }
+
   /** Sends a call to an instance; the status is 0 if there was no answer within the deadline. */
   CompletableFuture<Answer> call(int instance, String method, String path, String body) {
     HttpRequest.BodyPublisher p =
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -64,6 +64,25 @@
     }
   }
 
+  /** Removes an entry that is not written any more, as the platform does. */
+  void remove(String key, long delayMillis) {
+    Thread t =
+        new Thread(
+            () -> {
+              try {
+                Thread.sleep(delayMillis);
+              } catch (InterruptedException e) {
+                return;
+              }
+              synchronized (this) {
+                delete(key, ++revision);
+                notifyAll();
+              }
+            });
+    t.setDaemon(true);
+    t.start();
+  }
+
   /** Returns the value of a key as text; empty if there is none. */
   synchronized String text(String key) {
     Item i = items.get(key);
