--- a/review/standin-2/SlowClock.java
+++ b/review/standin-2/SlowClock.java
@@ -12,6 +12,7 @@
  */
 public final class SlowClock {
 
+  private static final int RUNNERS = 8;
   private static final double CLOCK_RATE = 0.98;
   private static final long IDLE_MILLIS = 50_000;
   private static final long CUT_AFTER_MILLIS = 300;
@@ -66,7 +67,7 @@
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Store store = new Store(record);
     store.put("op/config", Cell.configuration(3, 0));
-    for (int i = 1; i <= 2; i++) {
+    for (int i = 1; i <= RUNNERS; i++) {
       String id = "runner-" + i;
       Runner.Life life = new Runner.Life(id, "a", 64_000, 131_072, 0, CLOCK_RATE);
       Runner r = new Runner(life, 200, store, record, jobs, this::started);
