--- a/review/standin-2/Cell.java
+++ b/review/standin-2/Cell.java
@@ -15,6 +15,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -27,7 +28,7 @@
   private final Path repo;
   private final Path dir;
   private Http advice;
-  private final List<Process> processes = new ArrayList<>();
+  private final List<Process> processes = new CopyOnWriteArrayList<>();
   final List<Integer> frontends = new ArrayList<>();
   private final HttpClient client =
       HttpClient.newBuilder()
@@ -39,6 +40,9 @@
   Cell(Path repo) throws Exception {
     this.repo = repo;
     this.dir = Files.createTempDirectory("dandelionport-review");
+    // Ends the instances too if the script itself is stopped.
+    Runtime.getRuntime()
+        .addShutdownHook(new Thread(() -> processes.forEach(Process::destroyForcibly)));
   }
 
   private static Thread daemon(Runnable r) {
