--- a/review/standin-2/SlowClock.java
+++ b/review/standin-2/SlowClock.java
@@ -102,8 +102,8 @@
       Thread.sleep(CUT_AFTER_MILLIS);
       Relay relay = relays.get(first.runner());
       if (trouble) {
-        relay.cut();
-        record.line("network", first.runner() + " is cut off from the instances");
+        relay.cutAnswers();
+        record.line("network", first.runner() + " is cut off, its answers are lost");
       }
       Thread.sleep(CUT_MILLIS);
       if (trouble) {
