Log leases that a runner grants beyond the intended time (DP5010)

Neither the lease's end nor the runner's clock was logged.

The tests of runner links, workflows and log events pass.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/DispatchTopic.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchTopic.java
@@ -22,6 +22,8 @@
   RUNNER_SILENT,
   RUNNER_ANSWERED_AGAIN,
   RUNNER_LEASES_EXPIRED,
+  /** A runner's clock was behind the time that the owner assumed, so a lease is too long. */
+  RUNNER_LEASE_TOO_LONG,
   BATCH_SLOW,
   SNAPSHOT_WRITTEN,
   REQUEST_REFUSED,
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLeases.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLeases.java
@@ -50,6 +50,27 @@
     return now + clockOffset + context.settings().runnerLeaseMillis();
   }
 
+  /**
+   * Records the runner's clock in the answer to a call that extended the leases to {@code
+   * untilMillis} on that clock, and reports a lease that is longer than intended.
+   */
+  void answered(String runner, long untilMillis, long clockMillis) {
+    if (untilMillis != RunnerClient.NO_TIME
+        && clockMillis != RunnerClient.NO_TIME
+        && untilMillis - clockMillis > context.settings().runnerLeaseMillis()) {
+      context.report(
+          DispatchTopic.RUNNER_LEASE_TOO_LONG,
+          "runner",
+          runner,
+          "untilMillis",
+          untilMillis,
+          "clockMillis",
+          clockMillis,
+          "leaseMillis",
+          untilMillis - clockMillis);
+    }
+  }
+
   /** Returns whether all leases have expired and this was not yet handled. */
   boolean isExpiryUnhandled() {
     return context.nowMillis() > expireMillis && expireMillis != handledExpiryMillis;
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -244,7 +244,15 @@
                     waitMillis,
                     waitMillis + CALL_TIMEOUT_MILLIS)
                 .whenComplete(
-                    (a, e) -> shard.run(() -> holdCompleted(a, e, now, acked, statusOnly))));
+                    (a, e) ->
+                        shard.run(
+                            () -> {
+                              if (e == null && !a.fenced()) {
+                                leases.answered(
+                                    runnerId(), grantedUntilMillis, a.report().clockMillis());
+                              }
+                              holdCompleted(a, e, now, acked, statusOnly);
+                            })));
   }
 
   private void holdCompleted(
@@ -362,7 +370,14 @@
                 .runners()
                 .start(to, order.get(), leaseUntil, token, START_TIMEOUT_MILLIS)
                 .whenComplete(
-                    (a, e) -> shard.run(() -> startCompleted(order.get(), a, e, sentMillis))));
+                    (a, e) ->
+                        shard.run(
+                            () -> {
+                              if (e == null) {
+                                leases.answered(runnerId(), leaseUntil, a.clockMillis());
+                              }
+                              startCompleted(order.get(), a, e, sentMillis);
+                            })));
     return true;
   }
 
--- a/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
+++ b/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
@@ -31,6 +31,7 @@
       case RUNNER_SILENT -> LogEvent.RUNNER_SILENT;
       case RUNNER_ANSWERED_AGAIN -> LogEvent.RUNNER_BACK;
       case RUNNER_LEASES_EXPIRED -> LogEvent.RUNNER_LAPSED;
+      case RUNNER_LEASE_TOO_LONG -> LogEvent.RUNNER_LEASE_TOO_LONG;
       case BATCH_SLOW -> LogEvent.BATCH_SLOW;
       case SNAPSHOT_WRITTEN -> LogEvent.SNAPSHOT_WRITTEN;
       case REQUEST_REFUSED -> LogEvent.WORKFLOW_REFUSED;
--- a/node/src/main/java/dev/dandelionport/node/process/LogEvent.java
+++ b/node/src/main/java/dev/dandelionport/node/process/LogEvent.java
@@ -63,6 +63,7 @@
   RUNNER_BACK(5007, Level.INFO, "runner answers again", 20),
   RUNNER_LAPSED(5008, Level.WARN, "runner was silent until all leases on it ran out", 20),
   ENTRY_IGNORED(5009, Level.WARN, "entry in the store cannot be used", 20),
+  RUNNER_LEASE_TOO_LONG(5010, Level.WARN, "lease on a runner is longer than intended", 20),
   ENGINE_EVENT(9001, Level.DEBUG, "engine event without a number of its own");
 
   private final int number;
