Grant runner leases by the lowest time that the runner's clock may show

Cause: RunnerLeases kept the offset of the runner's clock from its latest answer without a limit on its age. After 50 s the clock was 1 s behind, so the runner granted up to 6 s where the owner counts 5.35 s.

Change: RunnerClock is a reading with an interval of time; a lease ends by the lowest time that the clock may show. No lease is granted by a reading older than 2 s; a start waits for a call that reads the clock and extends no lease. OwnerLoadTest lets its runner be called shortly before it is cut off, so that orders are in flight as the test says; its expectations are the same.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/DispatchSettings.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchSettings.java
@@ -22,9 +22,6 @@
   /** Time without contact to the store after which an owner stops extending runner leases. */
   public static final long EXTEND_WITHOUT_STORE_MILLIS = 4_000;
 
-  /** Lowest rate of a runner's clock relative to the clock of this instance. */
-  private static final double MIN_CLOCK_RATE = 0.98;
-
   /** Allowance for calls in flight, in milliseconds. */
   private static final long CALL_MARGIN_MILLIS = 250;
 
@@ -33,6 +30,6 @@
    * clock.
    */
   long maxLeaseMillis() {
-    return (long) (runnerLeaseMillis / MIN_CLOCK_RATE) + CALL_MARGIN_MILLIS;
+    return (long) (runnerLeaseMillis / RunnerClock.MIN_RATE) + CALL_MARGIN_MILLIS;
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLeases.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLeases.java
@@ -8,12 +8,22 @@
  */
 final class RunnerLeases {
 
+  /**
+   * Age of the reading of the runner's clock from which no lease is granted, in milliseconds. The
+   * runner may have restarted since, and a lease is shorter by the uncertainty of its clock.
+   */
+  private static final long MAX_CLOCK_AGE_MILLIS = 2_000;
+
   private final DispatchContext context;
 
-  /** Offset of the runner's clock from the local monotonic clock, from its latest answer. */
-  private long clockOffset;
+  /** Latest reading of the runner's clock; null if there is none. */
+  private RunnerClock clock;
 
-  private boolean clockKnown;
+  /**
+   * Whether the latest two readings are of different incarnations and their calls overlapped, so
+   * that it is not known which one is the current incarnation's.
+   */
+  private boolean clockAmbiguous;
 
   /** Time by which all leases on the runner have expired, on the monotonic clock. */
   private long expireMillis;
@@ -32,22 +42,47 @@
 
   /** Returns whether the runner's clock is known; without it no lease can be granted. */
   boolean isClockKnown() {
-    return clockKnown;
+    return clock != null;
+  }
+
+  /** Returns whether the runner's clock must be read again before a lease is granted. */
+  boolean isClockOutdated() {
+    return clock != null
+        && (clockAmbiguous || context.nowMillis() - clock.earliestMillis() > MAX_CLOCK_AGE_MILLIS);
   }
 
-  /** Records the runner's clock from an answer; {@link RunnerClient#NO_TIME} is ignored. */
-  void updateClock(long clockMillis) {
-    if (clockMillis != RunnerClient.NO_TIME) {
-      clockOffset = clockMillis - context.nowMillis();
-      clockKnown = true;
+  /**
+   * Records the runner's clock in the answer to a call; {@link RunnerClient#NO_TIME} is ignored.
+   *
+   * @param sentMillis when the call was sent, on the monotonic clock
+   */
+  void updateClock(long clockMillis, long sentMillis) {
+    if (clockMillis == RunnerClient.NO_TIME) {
+      return;
     }
+    RunnerClock next = new RunnerClock(clockMillis, sentMillis, context.nowMillis());
+    if (clock == null) {
+      clock = next;
+    } else if (clockAmbiguous || clock.isContradictedBy(next)) {
+      clockAmbiguous = !clock.isBefore(next);
+      clock = next;
+    } else if (clock.isBefore(next) || next.lowestAt(clock.latestMillis()) < clock.clockMillis()) {
+      // Of calls that overlapped, the reading that leads to shorter leases is used.
+      clock = next.narrowedBy(clock);
+    }
+  }
+
+  /** Forgets the clock of an earlier incarnation. */
+  void forgetClock() {
+    clock = null;
+    clockAmbiguous = false;
   }
 
   /** Extends the leases with a call sent now; returns their end on the runner's clock. */
   long extend() {
     long now = context.nowMillis();
     expireMillis = Math.max(expireMillis, now + context.settings().maxLeaseMillis());
-    return now + clockOffset + context.settings().runnerLeaseMillis();
+    return clock.lowestAt(now) + context.settings().runnerLeaseMillis();
   }
 
   /**
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -120,8 +120,7 @@
     this.token = token;
     this.address = address;
     this.leases = new RunnerLeases(context, leasesExpireMillis);
-    this.orders =
-        new RunnerOrders(owner.orders(), this::sendStop, this::sendStart, owner::mayStart);
+    this.orders = new RunnerOrders(owner.orders(), this::sendStop, this::sendStart, this::mayStart);
   }
 
   /** Sets the address of the runner; its host and port are empty if they are not known. */
@@ -171,14 +170,14 @@
       return;
     }
     boolean awaitsReport = owner.scheduler().awaitsReport(runnerId());
-    boolean stateUnknown = !answered || owner.scheduler().needsReport(runnerId());
+    boolean stateUnknown = !answered || awaitsClock() || owner.scheduler().needsReport(runnerId());
     boolean callNeeded =
         stateUnknown || failures > 0 || ends.awaitsJournal() || ends.isDue() || awaitsReport;
     if (!callNeeded && !hasRuns) {
       return;
     }
     long now = context.nowMillis();
-    if ((awaitsReport || ends.isDue())
+    if ((awaitsReport || ends.isDue() || awaitsClock())
         && holdPending
         && !statusCallPending
         && now >= nextCallMillis) {
@@ -199,7 +198,12 @@
       contacting = true;
     }
     holdPending = true;
-    boolean mayWait = !stateUnknown && failures == 0 && !ends.awaitsJournal() && !awaitsReport;
+    boolean mayWait =
+        !stateUnknown
+            && !leases.isClockOutdated()
+            && failures == 0
+            && !ends.awaitsJournal()
+            && !awaitsReport;
     sendHold(mayWait && (!ends.isDue() || isIncarnationConfirmed()) ? HOLD_WAIT_MILLIS : 0, false);
   }
 
@@ -224,8 +228,9 @@
     lastSentMillis = now;
     long leaseUntilMillis = RunnerClient.NO_TIME;
     // A call without an answer may still extend the leases. An unresponsive runner therefore gets
-    // no extension: otherwise its runs could never be considered ended.
-    boolean responsive = leases.isClockKnown() && failures == 0;
+    // no extension: otherwise its runs could never be considered ended. Nor does one whose clock was
+    // not read recently: a new incarnation would take the time for one far ahead of its clock.
+    boolean responsive = leases.isClockKnown() && !leases.isClockOutdated() && failures == 0;
     if (responsive && owner.mayExtendLeases() && owner.scheduler().hasRuns(runnerId())) {
       leaseUntilMillis = leases.extend();
     }
@@ -297,6 +302,7 @@
       incarnation = r.incarnation();
       incarnationSeenMillis = lastReportMillis;
       ends.reset();
+      leases.forgetClock();
       // The waiting orders are for the earlier incarnation, whose runs the scheduler marks as lost.
       orders.clear();
     }
@@ -308,7 +314,7 @@
     failures = 0;
     nextCallMillis = 0;
     answered = true;
-    leases.updateClock(r.clockMillis());
+    leases.updateClock(r.clockMillis(), sentMillis);
     owner.scheduler().report(runnerId(), r, sentMillis);
     if (!r.ends().isEmpty()) {
       ends.reported(r.ends().get(r.ends().size() - 1).number());
@@ -349,6 +355,18 @@
    */
   void start(TaskKey task, int run) {
     orders.start(task, run);
+    if (awaitsClock()) {
+      callIfNeeded();
+    }
+  }
+
+  private boolean mayStart() {
+    return owner.mayStart() && !awaitsClock();
+  }
+
+  /** Returns whether waiting starts need a newer reading of the runner's clock. */
+  private boolean awaitsClock() {
+    return orders.hasStarts() && leases.isClockOutdated();
   }
 
   private boolean sendStart(TaskKey task, int run) {
@@ -358,7 +376,7 @@
       return false;
     }
     if (!leases.isClockKnown()) {
-      handleStartResult(order.get(), StartResult.UNHEALTHY, RunnerClient.NO_TIME);
+      handleStartResult(order.get(), StartResult.UNHEALTHY);
       return false;
     }
     final long sentMillis = context.nowMillis();
@@ -384,17 +402,17 @@
   private void startCompleted(StartOrder order, StartAnswer a, Throwable e, long sentMillis) {
     orders.orderCompleted(sentMillis, context.nowMillis(), e == null);
     if (e != null) {
-      handleStartResult(order, StartResult.UNKNOWN, RunnerClient.NO_TIME);
+      handleStartResult(order, StartResult.UNKNOWN);
     } else {
-      handleStartResult(order, a.result(), a.clockMillis());
+      leases.updateClock(a.clockMillis(), sentMillis);
+      handleStartResult(order, a.result());
     }
   }
 
-  private void handleStartResult(StartOrder order, StartResult result, long clockMillis) {
+  private void handleStartResult(StartOrder order, StartResult result) {
     if (owner.isClosed()) {
       return;
     }
-    leases.updateClock(clockMillis);
     owner.scheduler().handleStartResult(order.task(), order.run(), runnerId(), result);
     owner.applyDecisions();
     if (result == StartResult.FENCED) {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerOrders.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerOrders.java
@@ -72,6 +72,11 @@
     return stops.size() + starts.size();
   }
 
+  /** Returns whether starts wait to be sent. */
+  boolean hasStarts() {
+    return !starts.isEmpty();
+  }
+
   /** Enqueues a start behind all waiting orders. */
   void start(TaskKey task, int run) {
     starts.add(new RunKey(task, run));
--- a/core/src/test/java/dev/dandelionport/core/dispatch/OwnerLoadTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/OwnerLoadTest.java
@@ -90,7 +90,10 @@
     WorkflowCluster c = new WorkflowCluster(4, 1);
     c.time.runFor(2_000);
     nextLoad(c);
-    c.time.runFor(1_800);
+    c.time.runFor(1_000);
+    // Orders are sent at once only to runners that have answered recently.
+    c.submit(c.anyNode(), "before", step(24, 1_000));
+    c.time.runFor(800);
     c.runners.cutLinks.add("r0");
     c.submit(c.anyNode(), "w", step(24, 1_000));
     Map<String, Object> load = nextLoad(c);
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunnerCalls.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunnerCalls.java
@@ -18,6 +18,9 @@
  */
 final class PlatformRunnerCalls implements RunnerClient {
 
+  /** Incarnation that received a hold call, and whether it refused the token. */
+  private record HeldBy(Incarnation incarnation, boolean fenced) {}
+
   private final PlatformRunners runners;
   private final VirtualTime time;
   private final String caller;
@@ -64,13 +67,25 @@
         time.latencyNanos(3),
         () -> {
           if (!isUnreachable(id)) {
+            Incarnation answering = runners.incarnations.get(id);
             T value = action.get();
-            time.afterNanos(time.latencyNanos(3), () -> process.accept(() -> f.complete(value)));
+            time.afterNanos(time.latencyNanos(3), () -> answer(id, answering, f, value));
           }
         });
     return f;
   }
 
+  /** Completes a call unless its runner was cut off or restarted before the answer was out. */
+  private <T> void answer(String id, Incarnation answering, CompletableFuture<T> f, T value) {
+    if (isConnected(id, answering)) {
+      process.accept(() -> f.complete(value));
+    }
+  }
+
+  private boolean isConnected(String id, Incarnation incarnation) {
+    return !isUnreachable(id) && runners.incarnations.get(id) == incarnation;
+  }
+
   private boolean isLate() {
     return runners.lateFraction > 0 && time.random().nextDouble() < runners.lateFraction;
   }
@@ -104,30 +119,38 @@
     time.afterMillis(timeout, noAnswer(f));
     String id = to.runner();
     long deadline = time.nowMillis() + wait;
-    call(id, false, timeout, () -> runners.handleHold(id, token, acked, until))
+    call(
+            id,
+            false,
+            timeout,
+            () -> {
+              Incarnation incarnation = runners.incarnations.get(id);
+              return new HeldBy(incarnation, runners.handleHold(id, token, acked, until));
+            })
         .thenAccept(
-            fenced -> {
-              if (fenced) {
+            x -> {
+              if (x.fenced()) {
                 f.complete(new HoldAnswer(true, null));
               } else {
-                pollForEnds(id, deadline, f);
+                pollForEnds(id, x.incarnation(), deadline, f);
               }
             });
     return f;
   }
 
-  private void pollForEnds(String id, long deadline, CompletableFuture<HoldAnswer> f) {
-    if (isUnreachable(id)) {
+  private void pollForEnds(
+      String id, Incarnation incarnation, long deadline, CompletableFuture<HoldAnswer> f) {
+    if (!isConnected(id, incarnation)) {
       return;
     }
-    Incarnation incarnation = runners.incarnations.get(id);
     runners.advance(incarnation);
     if (incarnation.ends.isEmpty() && time.nowMillis() < deadline) {
-      time.afterMillis(PlatformRunners.POLL_MILLIS, () -> pollForEnds(id, deadline, f));
+      time.afterMillis(
+          PlatformRunners.POLL_MILLIS, () -> pollForEnds(id, incarnation, deadline, f));
       return;
     }
     RunnerReport r = runners.report(incarnation);
     time.afterNanos(
-        time.latencyNanos(1), () -> process.accept(() -> f.complete(new HoldAnswer(false, r))));
+        time.latencyNanos(1), () -> answer(id, incarnation, f, new HoldAnswer(false, r)));
   }
 }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunners.java
@@ -26,12 +26,15 @@
 final class PlatformRunners {
 
   static final ResourceVector CAPACITY = new ResourceVector(0, 0, 8_000, 8_000, 0);
-  static final long MAX_HOLD_MILLIS = 5_000;
+  static final long MAX_HOLD_MILLIS = 6_000;
   static final long GANG_TIMEOUT_MILLIS = 3_000;
   static final long CHECKPOINT_INTERVAL_MILLIS = 2_000;
   private static final long MAX_STOP_MILLIS = 200;
   static final long POLL_MILLIS = 10;
 
+  /** Lowest rate of a runner's clock. */
+  static final double MIN_CLOCK_RATE = 0.98;
+
   /** Maximum number of ends in a report; the others follow once these are acknowledged. */
   private static final int MAX_REPORTED_ENDS = 4;
 
@@ -84,14 +87,22 @@
     long leaseUntilMillis;
     long lastEndNumber;
 
-    Incarnation(long wallStartMillis, long startMillis, double clockRate) {
+    /** What the runner's clock showed at the start of this incarnation. */
+    final long firstClockMillis;
+
+    Incarnation(long wallStartMillis, long startMillis, long firstClockMillis, double clockRate) {
       this.wallStartMillis = wallStartMillis;
       this.startMillis = startMillis;
+      this.firstClockMillis = firstClockMillis;
       this.clockRate = clockRate;
     }
 
+    boolean runs(TaskKey task) {
+      return running.containsKey(task);
+    }
+
     long clockMillis(long now) {
-      return (long) ((now - startMillis) * clockRate);
+      return firstClockMillis + (long) ((now - startMillis) * clockRate);
     }
   }
 
@@ -99,11 +110,19 @@
   private final PlatformInvariants invariants;
   private final long seed;
   private final BiPredicate<String, StartOrder> ticketValid;
+  private final Random firstClocks;
   final Map<String, Incarnation> incarnations = new TreeMap<>();
   final Map<String, Mode> modes = new HashMap<>();
   final Set<String> cutLinks = new HashSet<>();
   final Set<String> usedRunners = new HashSet<>();
   double lateFraction;
+
+  /** Latest time, exclusive, at which the clocks of incarnations start from now on. */
+  int maxFirstClockMillis = 10_000_000;
+
+  /** Highest rate of the clocks of incarnations that start from now on. */
+  double maxClockRate = 1;
+
   int starts;
 
   PlatformRunners(
@@ -116,6 +135,7 @@
     this.invariants = invariants;
     this.seed = seed;
     this.ticketValid = ticketValid;
+    this.firstClocks = new Random(seed);
     for (int i = 0; i < count; i++) {
       restart("r" + i);
     }
@@ -143,8 +163,10 @@
   /** Starts a new, empty incarnation of a runner whose wall clock is {@code lateMillis} behind. */
   void restart(String id, long lateMillis) {
     crash(id);
-    double rate = 0.98 + 0.02 * time.random().nextDouble();
-    incarnations.put(id, new Incarnation(time.nowMillis() - lateMillis, time.nowMillis(), rate));
+    double rate = MIN_CLOCK_RATE + (maxClockRate - MIN_CLOCK_RATE) * time.random().nextDouble();
+    long firstClock = firstClocks.nextInt(maxFirstClockMillis);
+    long now = time.nowMillis();
+    incarnations.put(id, new Incarnation(now - lateMillis, now, firstClock, rate));
   }
 
   /** Ends a runner and all its runs. */
--- /dev/null
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/RestartedRunnerTest.java
@@ -0,0 +1,89 @@
+package dev.dandelionport.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.testing.StepSpecs;
+import dev.dandelionport.core.workflow.StepSpec;
+import dev.dandelionport.core.workflow.TaskKey;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against a task that is started elsewhere while its run still holds a lease by a clock that
+ * the owner has not read: a slow one that it read long ago, or that of a new incarnation.
+ */
+class RestartedRunnerTest {
+
+  private static final TaskKey TASK = new TaskKey("w", 0, 0, 0);
+
+  /** Longer than the run time of any task, in milliseconds. */
+  private static final long CUT_MILLIS = 12_000;
+
+  private static StepSpec step(int tasks, long milliCores) {
+    // Run times are between 0.4 and 1.4 of the estimate.
+    return StepSpecs.of(tasks, new ResourceVector(0, 0, milliCores, 10, 0), 25_000);
+  }
+
+  private final List<String> runners = new ArrayList<>();
+
+  /** Creates a cell whose runners have a clock that shows less from their next restart on. */
+  private PlatformCluster newCell(long seed) {
+    PlatformCluster cell = new PlatformCluster(seed);
+    for (int i = 0; i < PlatformCluster.RUNNERS; i++) {
+      runners.add("r" + i);
+    }
+    cell.time.runFor(2_000);
+    cell.runners.maxFirstClockMillis = 1;
+    return cell;
+  }
+
+  private static void submit(PlatformCluster cell, String id, StepSpec step) {
+    cell.submit(cell.cluster.anyNode(), id, PlatformCluster.URGENT, "a", List.of(step));
+  }
+
+  /** Runs until the task has started; returns its runner. */
+  private String awaitStart(PlatformCluster cell) {
+    assertThat(cell.time.runUntil(() -> cell.runners.isPresent(TASK), 2_000)).isTrue();
+    return runners.stream()
+        .filter(r -> cell.runners.incarnations.get(r).runs(TASK))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private static void cutOffAndCheck(PlatformCluster cell, String runner) {
+    cell.runners.cutLinks.add(runner);
+    cell.time.runFor(CUT_MILLIS);
+    assertThat(cell.invariants.violations).isEmpty();
+    assertThat(cell.runners.isPresent(TASK)).as("was started again").isTrue();
+  }
+
+  // The runner's clock had fallen behind by a second since the owner had read it.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void taskOfIdleRunnerWithSlowClockRunsOnceWhenItsRunnerIsCutOff(long seed) {
+    PlatformCluster cell = newCell(seed);
+    cell.runners.maxClockRate = PlatformRunners.MIN_CLOCK_RATE;
+    runners.forEach(cell.runners::restart);
+    cell.time.runFor(50_000);
+    submit(cell, "w", step(1, 5_000));
+    String runner = awaitStart(cell);
+    cell.time.runFor(300);
+    cutOffAndCheck(cell, runner);
+  }
+
+  // The owner granted the lease by the clock of the earlier incarnation, far ahead of the new one.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void taskOfIdleRunnerThatHasRestartedRunsOnceWhenItsRunnerIsCutOff(long seed) {
+    PlatformCluster cell = newCell(seed);
+    cell.time.runFor(20_000);
+    runners.forEach(cell.runners::restart);
+    submit(cell, "w", step(1, 5_000));
+    String runner = awaitStart(cell);
+    cell.time.runFor(300);
+    cutOffAndCheck(cell, runner);
+  }
+}
