Count runner leases by the clock of the incarnation that granted them

Cause: a start or hold meant for the earlier incarnation gives a time of its clock. Where the new clock shows less, the runner extends the lease by 6 s, the longest that it grants; the owner counted 5.35 s from the sending.

Change: a call that grants leases counts until its answer, whose clock says for how long the lease was granted. Without an answer it counts as the longest lease that a runner grants, for runs that the runner has not confirmed; the others belong to the incarnation whose clock was read. A reading that cannot be of the same clock means a restart, and the runner is called at once. Readings of overlapping calls that disagree grant nothing. Ends are acknowledged by the age of the report at the runner, not by when it was read.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/DispatchSettings.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchSettings.java
@@ -7,6 +7,8 @@
  *
  * @param ownerLeaseMillis time to live of the owner's lease in the store
  * @param runnerLeaseMillis time by which a hold call extends the leases of all tasks on a runner
+ * @param maxRunnerLeaseMillis longest time on its clock for which a runner extends a lease at once,
+ *     whatever time it is given
  * @param policyMaxAgeMillis longest time for which a configuration counts as current without
  *     confirmation from the store
  * @param limits time limits of the scheduler
@@ -15,6 +17,7 @@
 public record DispatchSettings(
     long ownerLeaseMillis,
     long runnerLeaseMillis,
+    long maxRunnerLeaseMillis,
     long policyMaxAgeMillis,
     WorkflowLimits limits,
     long ownerCapacity) {
@@ -30,6 +33,14 @@
    * clock.
    */
   long maxLeaseMillis() {
-    return (long) (runnerLeaseMillis / RunnerClock.MIN_RATE) + CALL_MARGIN_MILLIS;
+    return maxDurationMillis(runnerLeaseMillis);
+  }
+
+  /**
+   * Returns the time after which a lease has expired that a runner grants now for {@code
+   * leaseMillis} on its clock.
+   */
+  static long maxDurationMillis(long leaseMillis) {
+    return (long) (leaseMillis / RunnerClock.MIN_RATE) + CALL_MARGIN_MILLIS;
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLeases.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLeases.java
@@ -4,7 +4,8 @@
 
 /**
  * Leases that the owner has granted on one runner: converts their times to the runner's clock and
- * tracks when all of them have expired. Guarded by the owner's shard.
+ * tracks when they have expired, whichever incarnation of the runner has carried out the calls.
+ * Guarded by the owner's shard.
  */
 final class RunnerLeases {
 
@@ -14,23 +15,65 @@
    */
   private static final long MAX_CLOCK_AGE_MILLIS = 2_000;
 
+  /** A call that extends no lease. */
+  static final Grant NO_GRANT = new Grant(RunnerClient.NO_TIME, 0);
+
+  /**
+   * A call that extends the leases on the runner.
+   *
+   * @param untilMillis end of the leases on the clock that was known when the call was sent, or
+   *     {@link RunnerClient#NO_TIME}
+   * @param clockNumber number of that clock
+   */
+  record Grant(long untilMillis, long clockNumber) {
+    boolean extendsLeases() {
+      return untilMillis != RunnerClient.NO_TIME;
+    }
+  }
+
+  /** Leases that have expired. */
+  enum Expiry {
+    NONE,
+    /** Those of all runs that the runner has confirmed. */
+    CONFIRMED_RUNS,
+    ALL_RUNS
+  }
+
   private final DispatchContext context;
 
   /** Latest reading of the runner's clock; null if there is none. */
   private RunnerClock clock;
 
+  /** Counts the clocks that the runner has shown; each of its incarnations has another one. */
+  private long clockNumber;
+
   /**
-   * Whether the latest two readings are of different incarnations and their calls overlapped, so
-   * that it is not known which one is the current incarnation's.
+   * Whether the latest two readings are of different clocks and their calls overlapped, so that it
+   * is not known which one is the current clock.
    */
   private boolean clockAmbiguous;
 
-  /** Time by which all leases on the runner have expired, on the monotonic clock. */
+  /**
+   * Time by which the leases have expired that calls granted to the incarnation that they were
+   * meant for or to one that has answered, on the monotonic clock.
+   */
   private long expireMillis;
 
-  /** Value of {@link #expireMillis} whose expiry was handled. */
+  /**
+   * Time by which the leases have expired that calls without an answer may have granted to any
+   * incarnation, on the monotonic clock.
+   */
+  private long unansweredExpireMillis = Long.MIN_VALUE;
+
+  /** Number of calls that extend the leases and were neither answered nor have failed. */
+  private int pending;
+
+  /** Value of {@link #expireMillis} whose expiry was returned. */
   private long handledExpiryMillis = Long.MIN_VALUE;
 
+  /** Time by which all leases had expired when that was returned. */
+  private long handledLastExpiryMillis = Long.MIN_VALUE;
+
   /**
    * Creates leases of which former owners may have granted some that expire by {@code
    * expireMillis}.
@@ -51,68 +94,127 @@
         && (clockAmbiguous || context.nowMillis() - clock.earliestMillis() > MAX_CLOCK_AGE_MILLIS);
   }
 
+  /** Returns the number of the runner's clock, which changes when the runner has restarted. */
+  long clockNumber() {
+    return clockNumber;
+  }
+
   /**
    * Records the runner's clock in the answer to a call; {@link RunnerClient#NO_TIME} is ignored.
    *
    * @param sentMillis when the call was sent, on the monotonic clock
+   * @return a time at which the runner had certainly not answered yet
    */
-  void updateClock(long clockMillis, long sentMillis) {
+  long updateClock(long clockMillis, long sentMillis) {
     if (clockMillis == RunnerClient.NO_TIME) {
-      return;
+      return sentMillis;
     }
     RunnerClock next = new RunnerClock(clockMillis, sentMillis, context.nowMillis());
     if (clock == null) {
       clock = next;
-    } else if (clockAmbiguous || clock.isContradictedBy(next)) {
+      return sentMillis;
+    }
+    if (clockAmbiguous || clock.isContradictedBy(next)) {
       clockAmbiguous = !clock.isBefore(next);
-      clock = next;
-    } else if (clock.isBefore(next) || next.lowestAt(clock.latestMillis()) < clock.clockMillis()) {
+      beginClock(next);
+      return sentMillis;
+    }
+    RunnerClock narrowed = next.narrowedBy(clock);
+    if (clock.isBefore(next) || next.lowestAt(clock.latestMillis()) < clock.clockMillis()) {
       // Of calls that overlapped, the reading that leads to shorter leases is used.
-      clock = next.narrowedBy(clock);
+      clock = narrowed;
     }
+    return narrowed.earliestMillis();
   }
 
   /** Forgets the clock of an earlier incarnation. */
   void forgetClock() {
-    clock = null;
     clockAmbiguous = false;
+    beginClock(null);
+  }
+
+  private void beginClock(RunnerClock reading) {
+    clock = reading;
+    clockNumber++;
+    // Calls meant for the earlier incarnation may have extended leases of the current one.
+    expireMillis = Math.max(expireMillis, unansweredExpireMillis);
   }
 
-  /** Extends the leases with a call sent now; returns their end on the runner's clock. */
-  long extend() {
+  /** Extends the leases with a call sent now, which must be passed on once it has completed. */
+  Grant extend() {
     long now = context.nowMillis();
-    expireMillis = Math.max(expireMillis, now + context.settings().maxLeaseMillis());
-    return clock.lowestAt(now) + context.settings().runnerLeaseMillis();
+    long leaseMillis = context.settings().runnerLeaseMillis();
+    expireMillis = Math.max(expireMillis, now + maxDurationMillis(leaseMillis));
+    pending++;
+    return new Grant(clock.lowestAt(now) + leaseMillis, clockNumber);
   }
 
   /**
-   * Records the runner's clock in the answer to a call that extended the leases to {@code
-   * untilMillis} on that clock, and reports a lease that is longer than intended.
+   * Records the answer to a call, and reports a lease that is longer than intended.
+   *
+   * @param clockMillis the runner's clock in the answer
    */
-  void answered(String runner, long untilMillis, long clockMillis) {
-    if (untilMillis != RunnerClient.NO_TIME
-        && clockMillis != RunnerClient.NO_TIME
-        && untilMillis - clockMillis > context.settings().runnerLeaseMillis()) {
+  void answered(Grant g, String runner, long clockMillis) {
+    if (!g.extendsLeases()) {
+      return;
+    }
+    pending--;
+    long leaseMillis = g.untilMillis() - clockMillis;
+    DispatchSettings s = context.settings();
+    expireMillis =
+        Math.max(
+            expireMillis,
+            context.nowMillis()
+                + maxDurationMillis(Math.min(leaseMillis, s.maxRunnerLeaseMillis())));
+    if (leaseMillis > s.runnerLeaseMillis()) {
       context.report(
           DispatchTopic.RUNNER_LEASE_TOO_LONG,
           "runner",
           runner,
           "untilMillis",
-          untilMillis,
+          g.untilMillis(),
           "clockMillis",
           clockMillis,
           "leaseMillis",
-          untilMillis - clockMillis);
+          leaseMillis);
     }
   }
 
-  /** Returns whether all leases have expired and this was not yet handled. */
-  boolean isExpiryUnhandled() {
-    return context.nowMillis() > expireMillis && expireMillis != handledExpiryMillis;
+  /**
+   * Records that a call was not answered. It may have reached an incarnation whose clock is not
+   * known, and then it has extended the leases by the longest time that a runner grants.
+   */
+  void failed(Grant g) {
+    if (!g.extendsLeases()) {
+      return;
+    }
+    pending--;
+    long latestMillis =
+        context.nowMillis() + maxDurationMillis(context.settings().maxRunnerLeaseMillis());
+    unansweredExpireMillis = Math.max(unansweredExpireMillis, latestMillis);
+    if (g.clockNumber() != clockNumber) {
+      expireMillis = Math.max(expireMillis, latestMillis);
+    }
   }
 
-  /** Records that the runs with a lease were ended because all leases have expired. */
-  void expiryHandled() {
-    handledExpiryMillis = expireMillis;
+  /** Returns the longest time that a lease lasts on this instance's clock. */
+  private static long maxDurationMillis(long leaseMillis) {
+    return DispatchSettings.maxDurationMillis(leaseMillis);
+  }
+
+  /** Returns which leases have expired since the last call. */
+  Expiry takeExpiry() {
+    long now = context.nowMillis();
+    long lastExpiryMillis = Math.max(expireMillis, unansweredExpireMillis);
+    if (pending == 0 && now > lastExpiryMillis && lastExpiryMillis != handledLastExpiryMillis) {
+      handledExpiryMillis = expireMillis;
+      handledLastExpiryMillis = lastExpiryMillis;
+      return Expiry.ALL_RUNS;
+    }
+    if (now > expireMillis && expireMillis != handledExpiryMillis) {
+      handledExpiryMillis = expireMillis;
+      return Expiry.CONFIRMED_RUNS;
+    }
+    return Expiry.NONE;
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -1,6 +1,8 @@
 package dev.dandelionport.core.dispatch;
 
 import dev.dandelionport.core.common.Shard;
+import dev.dandelionport.core.dispatch.RunnerLeases.Expiry;
+import dev.dandelionport.core.dispatch.RunnerLeases.Grant;
 import dev.dandelionport.core.port.RunnerClient;
 import dev.dandelionport.core.port.RunnerClient.Address;
 import dev.dandelionport.core.port.RunnerClient.HoldAnswer;
@@ -103,7 +105,11 @@
   private final RunnerOrders orders;
   private final CallLimiter.Sender contact = this::callIfNeeded;
   private long nextCallMillis;
+
+  /** A time at which the runner had not sent its latest report yet, on the monotonic clock. */
   private long lastReportMillis;
+
+  private long reportedClockNumber;
   private long lastSentMillis;
   private int failures;
 
@@ -170,14 +176,15 @@
       return;
     }
     boolean awaitsReport = owner.scheduler().awaitsReport(runnerId());
-    boolean stateUnknown = !answered || awaitsClock() || owner.scheduler().needsReport(runnerId());
+    boolean reportOutdated = hasRestartedSinceReport() || awaitsClock();
+    boolean stateUnknown = !answered || reportOutdated || owner.scheduler().needsReport(runnerId());
     boolean callNeeded =
         stateUnknown || failures > 0 || ends.awaitsJournal() || ends.isDue() || awaitsReport;
     if (!callNeeded && !hasRuns) {
       return;
     }
     long now = context.nowMillis();
-    if ((awaitsReport || ends.isDue() || awaitsClock())
+    if ((awaitsReport || ends.isDue() || reportOutdated)
         && holdPending
         && !statusCallPending
         && now >= nextCallMillis) {
@@ -209,32 +216,44 @@
 
   /** Ends the runs on an unresponsive runner once all leases on it have expired. */
   private void endExpiredRuns() {
-    if (leases.isExpiryUnhandled() && failures > 0 && owner.scheduler().hasRuns(runnerId())) {
+    if (failures == 0 || !owner.scheduler().hasRuns(runnerId())) {
+      return;
+    }
+    Expiry expired = leases.takeExpiry();
+    if (expired != Expiry.NONE) {
       // Starts that are still queued have no lease; they are rejected or extend the leases again.
-      leases.expiryHandled();
-      context.report(DispatchTopic.RUNNER_LEASES_EXPIRED, "runner", runnerId());
-      owner.scheduler().expireLeases(runnerId());
+      boolean all = expired == Expiry.ALL_RUNS;
+      context.report(
+          DispatchTopic.RUNNER_LEASES_EXPIRED, "runner", runnerId(), "unconfirmedToo", all);
+      owner.scheduler().expireLeases(runnerId(), all);
       owner.applyDecisions();
     }
   }
 
   /** Returns whether the latest report is so recent that the runner cannot have restarted since. */
   private boolean isIncarnationConfirmed() {
-    return context.nowMillis() - lastReportMillis < MAX_REPORT_AGE_MILLIS;
+    return context.nowMillis() - lastReportMillis < MAX_REPORT_AGE_MILLIS
+        && !hasRestartedSinceReport()
+        && !leases.isClockOutdated();
+  }
+
+  /** Returns whether the runner has shown another clock than that of its latest report. */
+  private boolean hasRestartedSinceReport() {
+    return answered && leases.clockNumber() != reportedClockNumber;
   }
 
   private void sendHold(long waitMillis, boolean statusOnly) {
     long now = context.nowMillis();
     lastSentMillis = now;
-    long leaseUntilMillis = RunnerClient.NO_TIME;
+    Grant newGrant = RunnerLeases.NO_GRANT;
     // A call without an answer may still extend the leases. An unresponsive runner therefore gets
-    // no extension: otherwise its runs could never be considered ended. Nor does one whose clock was
-    // not read recently: a new incarnation would take the time for one far ahead of its clock.
+    // no extension: otherwise its runs could never be considered ended. A runner whose clock is
+    // outdated gets none either: for a new incarnation, the time may be far ahead.
     boolean responsive = leases.isClockKnown() && !leases.isClockOutdated() && failures == 0;
     if (responsive && owner.mayExtendLeases() && owner.scheduler().hasRuns(runnerId())) {
-      leaseUntilMillis = leases.extend();
+      newGrant = leases.extend();
     }
-    final long grantedUntilMillis = leaseUntilMillis;
+    final Grant grant = newGrant;
     final Address to = address;
     final long acked = isIncarnationConfirmed() ? ends.numberToSend() : 0;
     shard.runAfterUnlock(
@@ -245,21 +264,30 @@
                     to,
                     token,
                     acked,
-                    grantedUntilMillis,
+                    grant.untilMillis(),
                     waitMillis,
                     waitMillis + CALL_TIMEOUT_MILLIS)
                 .whenComplete(
                     (a, e) ->
                         shard.run(
                             () -> {
-                              if (e == null && !a.fenced()) {
-                                leases.answered(
-                                    runnerId(), grantedUntilMillis, a.report().clockMillis());
-                              }
+                              boolean answered = e == null && !a.fenced();
+                              completeGrant(
+                                  grant,
+                                  answered ? a.report().clockMillis() : RunnerClient.NO_TIME);
                               holdCompleted(a, e, now, acked, statusOnly);
                             })));
   }
 
+  /** Records the runner's clock in the answer to a call, or that there is none. */
+  private void completeGrant(Grant grant, long clockMillis) {
+    if (clockMillis == RunnerClient.NO_TIME) {
+      leases.failed(grant);
+    } else {
+      leases.answered(grant, runnerId(), clockMillis);
+    }
+  }
+
   private void holdCompleted(
       HoldAnswer a, Throwable e, long sentMillis, long acked, boolean statusOnly) {
     if (statusOnly) {
@@ -297,10 +325,9 @@
       callIfNeeded();
       return;
     }
-    lastReportMillis = context.nowMillis();
     if (r.incarnation() != incarnation) {
       incarnation = r.incarnation();
-      incarnationSeenMillis = lastReportMillis;
+      incarnationSeenMillis = context.nowMillis();
       ends.reset();
       leases.forgetClock();
       // The waiting orders are for the earlier incarnation, whose runs the scheduler marks as lost.
@@ -314,7 +341,8 @@
     failures = 0;
     nextCallMillis = 0;
     answered = true;
-    leases.updateClock(r.clockMillis(), sentMillis);
+    lastReportMillis = leases.updateClock(r.clockMillis(), sentMillis);
+    reportedClockNumber = leases.clockNumber();
     owner.scheduler().report(runnerId(), r, sentMillis);
     if (!r.ends().isEmpty()) {
       ends.reported(r.ends().get(r.ends().size() - 1).number());
@@ -380,20 +408,19 @@
       return false;
     }
     final long sentMillis = context.nowMillis();
-    long leaseUntil = leases.extend();
+    Grant grant = leases.extend();
     Address to = address;
     shard.runAfterUnlock(
         () ->
             context
                 .runners()
-                .start(to, order.get(), leaseUntil, token, START_TIMEOUT_MILLIS)
+                .start(to, order.get(), grant.untilMillis(), token, START_TIMEOUT_MILLIS)
                 .whenComplete(
                     (a, e) ->
                         shard.run(
                             () -> {
-                              if (e == null) {
-                                leases.answered(runnerId(), leaseUntil, a.clockMillis());
-                              }
+                              completeGrant(
+                                  grant, e == null ? a.clockMillis() : RunnerClient.NO_TIME);
                               startCompleted(order.get(), a, e, sentMillis);
                             })));
     return true;
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
@@ -149,10 +149,11 @@
     }
   }
 
-  /** Ends all runs on a runner whose leases have certainly expired. */
-  void expireLeases(Runner r) {
+  /** Ends the runs on a runner whose leases have certainly expired. */
+  void expireLeases(Runner r, boolean unconfirmedToo) {
     for (Run run : List.copyOf(r.runs)) {
-      if (run.phase != Phase.INTENDED || run.inherited) {
+      boolean unconfirmed = run.phase == Phase.UNCONFIRMED && unconfirmedToo;
+      if (run.phase == Phase.CONFIRMED || run.inherited || unconfirmed) {
         runs.end(run, RunEnd.LOST, run.checkpoint);
       }
     }
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -266,14 +266,16 @@
   }
 
   /**
-   * Ends all runs on a runner that has been unresponsive for so long that all its leases have
+   * Ends the runs on a runner that has been unresponsive for so long that their leases have
    * certainly expired.
+   *
+   * @param unconfirmedToo whether this is so also for runs that the runner has not confirmed
    */
-  public void expireLeases(String runner) {
+  public void expireLeases(String runner, boolean unconfirmedToo) {
     Runner r = cell.runners.get(runner);
     if (r != null) {
       r.ownerConfirmed = false;
-      reports.expireLeases(r);
+      reports.expireLeases(r, unconfirmedToo);
     }
   }
 
--- a/core/src/test/java/dev/dandelionport/core/dispatch/RestartedRunnerTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/RestartedRunnerTest.java
@@ -22,6 +22,8 @@
   /** Longer than the run time of any task, in milliseconds. */
   private static final long CUT_MILLIS = 12_000;
 
+  private static final ResourceVector HALF_RUNNER = new ResourceVector(0, 0, 4_500, 10, 0);
+
   private static StepSpec step(int tasks, long milliCores) {
     // Run times are between 0.4 and 1.4 of the estimate.
     return StepSpecs.of(tasks, new ResourceVector(0, 0, milliCores, 10, 0), 25_000);
@@ -67,7 +69,9 @@
     PlatformCluster cell = newCell(seed);
     cell.runners.maxClockRate = PlatformRunners.MIN_CLOCK_RATE;
     runners.forEach(cell.runners::restart);
+    submit(cell, "before", StepSpecs.of(PlatformCluster.RUNNERS, HALF_RUNNER, 100));
     cell.time.runFor(50_000);
+    assertThat(cell.runners.usedRunners).hasSize(PlatformCluster.RUNNERS);
     submit(cell, "w", step(1, 5_000));
     String runner = awaitStart(cell);
     cell.time.runFor(300);
@@ -86,4 +90,35 @@
     cell.time.runFor(300);
     cutOffAndCheck(cell, runner);
   }
+
+  // As before, while a call to the earlier incarnation was still pending.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void taskOfBusyRunnerThatHasRestartedRunsOnceWhenItsRunnerIsCutOff(long seed) {
+    PlatformCluster cell = newBusyCell(seed);
+    runners.forEach(cell.runners::restart);
+    submit(cell, "w", step(1, 3_000));
+    String runner = awaitStart(cell);
+    cell.time.runFor(100);
+    cutOffAndCheck(cell, runner);
+  }
+
+  // As before, but the answer to the start was lost.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void taskWhoseStartOnRestartedRunnerWasNotAnsweredRunsOnce(long seed) {
+    PlatformCluster cell = newBusyCell(seed);
+    runners.forEach(cell.runners::restart);
+    submit(cell, "w", step(1, 3_000));
+    cutOffAndCheck(cell, awaitStart(cell));
+  }
+
+  private PlatformCluster newBusyCell(long seed) {
+    PlatformCluster cell = newCell(seed);
+    cell.time.runFor(10_000);
+    submit(cell, "busy", step(PlatformCluster.RUNNERS, 4_500));
+    cell.time.runFor(2_000);
+    assertThat(cell.runners.usedRunners).hasSize(PlatformCluster.RUNNERS);
+    return cell;
+  }
 }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/StoreContext.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/StoreContext.java
@@ -22,7 +22,9 @@
         null,
         process,
         process,
-        () -> new DispatchSettings(1_000, 5_000, 3_500, new WorkflowLimits(1, 1, 1, 1, 1), 1_000),
+        () ->
+            new DispatchSettings(
+                1_000, 5_000, 6_000, 3_500, new WorkflowLimits(1, 1, 1, 1, 1), 1_000),
         (t, f) -> {});
   }
 
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -82,6 +82,7 @@
                       new DispatchSettings(
                           1_000,
                           5_000,
+                          6_000,
                           3_500,
                           new WorkflowLimits(3_000, 200, 3, 2_000, 600_000),
                           capacity(name)),
--- a/core/src/test/java/dev/dandelionport/core/workflow/LateCompletionTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/LateCompletionTest.java
@@ -58,7 +58,7 @@
     f.submit("w", "batch", WorkflowFixture.step(tasks, 1_000));
     WorkflowEffect.Start first = f.answerStarts(StartResult.PRESENT).get(0);
     f.scheduler.markUnresponsive(first.runner());
-    f.scheduler.expireLeases(first.runner());
+    f.scheduler.expireLeases(first.runner(), true);
     return first;
   }
 
