Start tasks that fill where less processor time is free than they would use

Cause: Placement counted no task of such a step on a runner with less processor time free than the task would use. The step's cpu does not count against a runner's capacity, and nothing ended the wait.

A step that may use the headroom starts wherever its memory fits.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -229,22 +229,24 @@
   }
 
   /**
-   * Returns how many more tasks of a step fit on a runner beside the headroom that the step may not
-   * use.
+   * Returns how many more tasks of a step are to start on a runner. Unless the step may use the
+   * headroom, its tasks leave that free, and best-effort ones only start where as much processor
+   * time is free as they would use.
    */
   int countFitting(Runner r, Step s, Queue q) {
     ResourceVector free = r.free();
-    boolean leavesHeadroom = q.priority() > 0 && !headroom.mayUseHeadroom(s, q);
-    return countFittingIn(leavesHeadroom ? free.minus(headroom.headroomOn(r)) : free, r, s);
+    if ((q.priority() > 0 || s.spec.bestEffort()) && !headroom.mayUseHeadroom(s, q)) {
+      free = q.priority() > 0 ? free.minus(headroom.headroomOn(r)) : free;
+      if (s.spec.bestEffort() && free.milliCores() < s.spec.size().milliCores()) {
+        return 0;
+      }
+    }
+    return countFittingIn(free, r, s);
   }
 
   /** Returns how many more tasks of a step may start on a runner within the given free capacity. */
   int countFittingIn(ResourceVector free, Runner r, Step s) {
     int n = s.spec.reserved().countFittingIn(free);
-    if (s.spec.bestEffort() && free.milliCores() < s.spec.size().milliCores()) {
-      // Best-effort tasks use spare processor time; without any, they would only occupy memory.
-      n = 0;
-    }
     if (s.spec.maxPerRunner() > 0) {
       n = Math.min(n, s.spec.maxPerRunner() - r.countRuns(s));
     }
--- a/core/src/test/java/dev/dandelionport/core/workflow/HeadroomTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/HeadroomTest.java
@@ -6,6 +6,8 @@
 import dev.dandelionport.core.testing.StepSpecs;
 import dev.dandelionport.core.workflow.ClusterPolicy.Advice;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class HeadroomTest {
 
@@ -45,6 +47,21 @@
     assertThat(cell.runUntilStarted("large", 1, 1_000)).isTrue();
   }
 
+  // Guards against a task that fills and never starts, although its cpu is not counted against the
+  // runners' capacity, because each runner has less processor time free than the task would use.
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void bestEffortTaskStartsWhereLessProcessorTimeIsFreeThanItWouldUse(boolean longRunning) {
+    ResourceVector busy = new ResourceVector(0, 0, 30_000, 1_000, 0);
+    StepSpec onEachRunner = StepSpecs.limitedPerRunner(StepSpecs.of(RUNNERS, busy, 60_000), 1);
+    cell.submit("busy", AdviceSimulation.PLAIN, onEachRunner);
+    assertThat(cell.runUntilStarted("busy", RUNNERS, 100)).isTrue();
+    ResourceVector task = new ResourceVector(0, 0, 40_000, 1_000, 0);
+    StepSpec step = longRunning ? StepSpecs.longRunning(1, task) : StepSpecs.of(1, task, 5_000);
+    cell.submit("filler", AdviceSimulation.PLAIN, StepSpecs.bestEffort(step));
+    assertThat(cell.runUntilStarted("filler", 1, 1_000)).isTrue();
+  }
+
   // Guards against a backlog of large steps that use up the headroom for urgent work one after the
   // other.
   @Test
