Let tasks that last use the headroom while there is room for two of them

Cause: a step used the headroom for urgent work only if nothing of it ran and half of its pool was free. A task that lasts waits for as long as urgent work goes on.

Change: for steps that last, Headroom asks only whether twice as many tasks fit on the usable runners, with the count that the placement uses.

The rest of core's tests was not run yet on it.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Headroom.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Headroom.java
@@ -10,7 +10,7 @@
  * work in a full cell has to wait until another run has stopped, which can take longer than the
  * work itself. The headroom is spread over all runners, so it can exclude large tasks from every
  * one of them. A step that has waited may therefore use it on some runners while much of the whole
- * pool is free.
+ * pool is free, and tasks that last may use it while there is room for twice as many.
  */
 final class Headroom {
 
@@ -35,6 +35,9 @@
   /** Time that a step must have waited before it may use headroom, in milliseconds. */
   private static final long MIN_WAIT_MILLIS = 500;
 
+  /** Multiple of a lasting task that must fit before it may use headroom. */
+  private static final int LASTING_ROOM_FACTOR = 2;
+
   /** A pool's capacity divided by this must be free before a task may use headroom. */
   private static final int TASK_FREE_DIVISOR = 2;
 
@@ -61,7 +64,15 @@
     }
   }
 
+  /** Counts tasks of a step that fit on all runners, headroom included. */
+  @FunctionalInterface
+  interface RoomCounter {
+    /** Returns how many tasks fit; may stop counting at {@code limit}. */
+    int count(Step s, Queue q, int limit);
+  }
+
   private final CellState cell;
+  private final RoomCounter room;
   private final Map<String, Pool> pools = new HashMap<>();
 
   /**
@@ -78,8 +89,9 @@
   private int runnerCount = 1;
   private long updatedMillis;
 
-  Headroom(CellState cell) {
+  Headroom(CellState cell, RoomCounter room) {
     this.cell = cell;
+    this.room = room;
   }
 
   /** Updates the peak demand of urgent work: what it uses and what it waits for. */
@@ -133,6 +145,12 @@
   }
 
   private boolean decide(Step s, Queue q) {
+    if (s.spec.longRunning()) {
+      // Nothing that ends makes room for it later, so it neither waits for a free pool nor counts
+      // its siblings.
+      int wanted = LASTING_ROOM_FACTOR * (s.spec.gang() ? s.startable(cell.now).size() : 1);
+      return room.count(s, q, wanted) >= wanted;
+    }
     Pool p = pools.get(q.service());
     if (p == null) {
       return false;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -66,7 +66,7 @@
     this.advice = advice;
     this.gangs = new GangPlacement(cell, runs, this);
     this.preemption = new Preemption(cell, runs);
-    this.headroom = new Headroom(cell);
+    this.headroom = new Headroom(cell, this::countRoom);
     this.freeCapacity = new FreeCapacityBound(cell, headroom);
   }
 
@@ -244,8 +244,22 @@
     return countFittingIn(free, r, s);
   }
 
+  private int countRoom(Step s, Queue q, int limit) {
+    int n = 0;
+    for (Runner r : cell.runners.values()) {
+      if (n < limit && isUsable(r, s, q) && !(q.advice().isPresent() && s.isDenied(r))) {
+        n += Math.min(limit, countRoomIn(r.free(), r, s));
+      }
+    }
+    return n;
+  }
+
   /** Returns how many more tasks of a step may start on a runner within the given free capacity. */
   int countFittingIn(ResourceVector free, Runner r, Step s) {
+    return Math.min(countRoomIn(free, r, s), s.spec.tasks());
+  }
+
+  private int countRoomIn(ResourceVector free, Runner r, Step s) {
     int n = s.spec.reserved().countFittingIn(free);
     if (s.spec.maxPerRunner() > 0) {
       n = Math.min(n, s.spec.maxPerRunner() - r.countRuns(s));
@@ -254,7 +268,7 @@
       // Only one probe at a time, also among the tasks of one step.
       n = Math.min(n, r.health.acceptsRuns(cell.now) ? 1 : 0);
     }
-    return Math.max(0, Math.min(n, s.spec.tasks()));
+    return Math.max(0, n);
   }
 
   private void placeTasks(Step s, Queue q, List<Task> tasks, List<Runner> candidates) {
--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
@@ -232,14 +232,32 @@
     updateTime();
     List<WorkflowEffect.Start> list = running.remove(workflow);
     for (WorkflowEffect.Start s : list == null ? List.<WorkflowEffect.Start>of() : list) {
-      var end = new RunnerReport.End(++lastEndNumber, s.task(), s.run(), RunEnd.DONE, "");
-      // The report's call was sent long ago, so missing runs do not count as lost.
-      scheduler.report(
-          s.runner(), new RunnerReport(1, now, List.of(), List.of(end), true), now - 100_000);
+      report(s, RunEnd.DONE);
     }
     carryOut();
   }
 
+  /** Ends all runs on a runner as if their lease had expired. */
+  void loseRuns(String runner) {
+    updateTime();
+    for (List<WorkflowEffect.Start> list : running.values()) {
+      for (WorkflowEffect.Start s : List.copyOf(list)) {
+        if (s.runner().equals(runner)) {
+          list.remove(s);
+          report(s, RunEnd.LAPSED);
+        }
+      }
+    }
+    carryOut();
+  }
+
+  private void report(WorkflowEffect.Start s, RunEnd outcome) {
+    var end = new RunnerReport.End(++lastEndNumber, s.task(), s.run(), outcome, "");
+    // The report's call was sent long ago, so missing runs do not count as lost.
+    scheduler.report(
+        s.runner(), new RunnerReport(1, now, List.of(), List.of(end), true), now - 100_000);
+  }
+
   /** Restarts a runner that has no runs. */
   void restartRunner(String runner) {
     updateTime();
--- a/core/src/test/java/dev/dandelionport/core/workflow/HeadroomTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/HeadroomTest.java
@@ -62,6 +62,29 @@
     assertThat(cell.runUntilStarted("filler", 1, 1_000)).isTrue();
   }
 
+  // Guards against a task that lasts, is lost with its runner and never starts again while another
+  // task of its step runs, although other runners have room for it.
+  @Test
+  void taskThatLastsStartsBesideItsSiblingWhereItNeedsTheHeadroom() {
+    urgentBursts(60, 4);
+    ResourceVector task = new ResourceVector(0, 0, 59_000, 1_000, 0);
+    cell.submit("lasting", AdviceSimulation.PLAIN, StepSpecs.longRunning(2, task));
+    assertThat(cell.runUntilStarted("lasting", 2, 1_000)).isTrue();
+    cell.loseRuns(cell.running("lasting").get(0).runner());
+    assertThat(cell.runUntilStarted("lasting", 2, 1_000)).isTrue();
+  }
+
+  // Guards against the same where less than half of the pool is free.
+  @Test
+  void taskThatLastsStartsInFullCellWithRoomForTwo() {
+    urgentBursts(60, 4);
+    ResourceVector task = new ResourceVector(0, 0, 59_000, 1_000, 0);
+    cell.submit("busy", AdviceSimulation.PLAIN, StepSpecs.longRunning(RUNNERS - 2, task));
+    assertThat(cell.runUntilStarted("busy", RUNNERS - 2, 1_000)).isTrue();
+    cell.submit("lasting", AdviceSimulation.PLAIN, StepSpecs.longRunning(1, task));
+    assertThat(cell.runUntilStarted("lasting", 1, 1_000)).isTrue();
+  }
+
   // Guards against a backlog of large steps that use up the headroom for urgent work one after the
   // other.
   @Test
