Split the orders to a runner from RunnerLink

Orders after the answer to a start were sent before the clock in that answer was taken in, and starts for a runner that had just shown another clock did not wait for its report.

Change: OrderSender sends the orders and handles their answers, LinkOwner is a file of its own. The clock of an answer is taken in first; starts wait for the report of a runner that has restarted.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLeases.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLeases.java
@@ -144,28 +144,39 @@
   Grant extend() {
     long now = context.nowMillis();
     long leaseMillis = context.settings().runnerLeaseMillis();
-    expireMillis = Math.max(expireMillis, now + maxDurationMillis(leaseMillis));
+    expireMillis = Math.max(expireMillis, now + DispatchSettings.maxDurationMillis(leaseMillis));
     pending++;
     return new Grant(clock.lowestAt(now) + leaseMillis, clockNumber);
   }
 
   /**
-   * Records the answer to a call, and reports a lease that is longer than intended.
+   * Records that a call has completed.
    *
-   * @param clockMillis the runner's clock in the answer
+   * @param clockMillis the runner's clock in the answer, or {@link RunnerClient#NO_TIME} if there
+   *     is none
    */
-  void answered(Grant g, String runner, long clockMillis) {
+  void completed(Grant g, String runner, long clockMillis) {
     if (!g.extendsLeases()) {
       return;
     }
     pending--;
+    if (clockMillis == RunnerClient.NO_TIME) {
+      failed(g);
+    } else {
+      answered(g, runner, clockMillis);
+    }
+  }
+
+  /** Counts the leases by the clock in the answer, and reports one longer than intended. */
+  private void answered(Grant g, String runner, long clockMillis) {
     long leaseMillis = g.untilMillis() - clockMillis;
     DispatchSettings s = context.settings();
     expireMillis =
         Math.max(
             expireMillis,
             context.nowMillis()
-                + maxDurationMillis(Math.min(leaseMillis, s.maxRunnerLeaseMillis())));
+                + DispatchSettings.maxDurationMillis(
+                    Math.min(leaseMillis, s.maxRunnerLeaseMillis())));
     if (leaseMillis > s.runnerLeaseMillis()) {
       context.report(
           DispatchTopic.RUNNER_LEASE_TOO_LONG,
@@ -181,27 +192,19 @@
   }
 
   /**
-   * Records that a call was not answered. It may have reached an incarnation whose clock is not
-   * known, and then it has extended the leases by the longest time that a runner grants.
+   * Counts a call without an answer. It may have reached an incarnation whose clock is not known,
+   * and then it has extended the leases by the longest time that a runner grants.
    */
-  void failed(Grant g) {
-    if (!g.extendsLeases()) {
-      return;
-    }
-    pending--;
+  private void failed(Grant g) {
     long latestMillis =
-        context.nowMillis() + maxDurationMillis(context.settings().maxRunnerLeaseMillis());
+        context.nowMillis()
+            + DispatchSettings.maxDurationMillis(context.settings().maxRunnerLeaseMillis());
     unansweredExpireMillis = Math.max(unansweredExpireMillis, latestMillis);
     if (g.clockNumber() != clockNumber) {
       expireMillis = Math.max(expireMillis, latestMillis);
     }
   }
 
-  /** Returns the longest time that a lease lasts on this instance's clock. */
-  private static long maxDurationMillis(long leaseMillis) {
-    return DispatchSettings.maxDurationMillis(leaseMillis);
-  }
-
   /** Returns which leases have expired since the last call. */
   Expiry takeExpiry() {
     long now = context.nowMillis();
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -6,13 +6,8 @@
 import dev.dandelionport.core.port.RunnerClient;
 import dev.dandelionport.core.port.RunnerClient.Address;
 import dev.dandelionport.core.port.RunnerClient.HoldAnswer;
-import dev.dandelionport.core.port.RunnerClient.StartAnswer;
 import dev.dandelionport.core.workflow.RunnerReport;
-import dev.dandelionport.core.workflow.StartOrder;
-import dev.dandelionport.core.workflow.StartResult;
 import dev.dandelionport.core.workflow.TaskKey;
-import dev.dandelionport.core.workflow.WorkflowScheduler;
-import java.util.Optional;
 
 /**
  * Connection of the owner to one runner. While tasks run there, it keeps a hold call pending, which
@@ -27,9 +22,6 @@
   /** Timeout of a call and its answer, in milliseconds. */
   private static final long CALL_TIMEOUT_MILLIS = 400;
 
-  /** Timeout of a start order, in milliseconds. */
-  private static final long START_TIMEOUT_MILLIS = 300;
-
   /**
    * Delay before a runner that did not answer is called again, in milliseconds; grows with each
    * failure.
@@ -48,39 +40,6 @@
   /** Age of a report from which the runner may have restarted since, in milliseconds. */
   private static final long MAX_REPORT_AGE_MILLIS = 300;
 
-  /** Operations of the owner that a link uses. */
-  interface LinkOwner {
-    WorkflowScheduler scheduler();
-
-    /** Executes the scheduler's decisions and places waiting tasks. */
-    void applyDecisions();
-
-    /** Runs {@code action} once all records so far are durable. */
-    void whenDurable(Runnable action);
-
-    /** Returns whether the owner may still extend leases. */
-    boolean mayExtendLeases();
-
-    /**
-     * Returns whether the owner may start runs. Its fencing token alone does not prevent a start
-     * after another instance has become the owner: a runner that has restarted since then knows no
-     * token.
-     */
-    boolean mayStart();
-
-    /** Returns the limiter of first calls to runners. */
-    CallLimiter firstCalls();
-
-    /** Returns the limiter of start and stop orders to all runners. */
-    CallLimiter orders();
-
-    /** Called when the runner rejects the fencing token because it has received a newer one. */
-    void onFenced();
-
-    /** Returns whether the owner is closed and must no longer act. */
-    boolean isClosed();
-  }
-
   private final DispatchContext context;
   private final Shard shard;
   private final LinkOwner owner;
@@ -126,7 +85,10 @@
     this.token = token;
     this.address = address;
     this.leases = new RunnerLeases(context, leasesExpireMillis);
-    this.orders = new RunnerOrders(owner.orders(), this::sendStop, this::sendStart, this::mayStart);
+    this.orders =
+        new OrderSender(
+                context, shard, owner, token, leases, () -> this.address, this::callIfNeeded)
+            .newQueue(this::mayStart);
   }
 
   /** Sets the address of the runner; its host and port are empty if they are not known. */
@@ -271,21 +233,13 @@
                     (a, e) ->
                         shard.run(
                             () -> {
-                              boolean answered = e == null && !a.fenced();
-                              completeGrant(
-                                  grant,
-                                  answered ? a.report().clockMillis() : RunnerClient.NO_TIME);
+                              leases.completed(grant, runnerId(), clockOf(a));
                               holdCompleted(a, e, now, acked, statusOnly);
                             })));
   }
 
-  /** Records the runner's clock in the answer to a call, or that there is none. */
-  private void completeGrant(Grant grant, long clockMillis) {
-    if (clockMillis == RunnerClient.NO_TIME) {
-      leases.failed(grant);
-    } else {
-      leases.answered(grant, runnerId(), clockMillis);
-    }
+  private static long clockOf(HoldAnswer a) {
+    return a == null || a.fenced() ? RunnerClient.NO_TIME : a.report().clockMillis();
   }
 
   private void holdCompleted(
@@ -388,98 +342,19 @@
     }
   }
 
-  private boolean mayStart() {
-    return owner.mayStart() && !awaitsClock();
-  }
-
-  /** Returns whether waiting starts need a newer reading of the runner's clock. */
-  private boolean awaitsClock() {
-    return orders.hasStarts() && leases.isClockOutdated();
-  }
-
-  private boolean sendStart(TaskKey task, int run) {
-    Optional<StartOrder> order = owner.scheduler().prepareStart(task, run, runnerId());
-    if (order.isEmpty()) {
-      owner.applyDecisions();
-      return false;
-    }
-    if (!leases.isClockKnown()) {
-      handleStartResult(order.get(), StartResult.UNHEALTHY);
-      return false;
-    }
-    final long sentMillis = context.nowMillis();
-    Grant grant = leases.extend();
-    Address to = address;
-    shard.runAfterUnlock(
-        () ->
-            context
-                .runners()
-                .start(to, order.get(), grant.untilMillis(), token, START_TIMEOUT_MILLIS)
-                .whenComplete(
-                    (a, e) ->
-                        shard.run(
-                            () -> {
-                              completeGrant(
-                                  grant, e == null ? a.clockMillis() : RunnerClient.NO_TIME);
-                              startCompleted(order.get(), a, e, sentMillis);
-                            })));
-    return true;
-  }
-
-  private void startCompleted(StartOrder order, StartAnswer a, Throwable e, long sentMillis) {
-    orders.orderCompleted(sentMillis, context.nowMillis(), e == null);
-    if (e != null) {
-      handleStartResult(order, StartResult.UNKNOWN);
-    } else {
-      leases.updateClock(a.clockMillis(), sentMillis);
-      handleStartResult(order, a.result());
-    }
-  }
-
-  private void handleStartResult(StartOrder order, StartResult result) {
-    if (owner.isClosed()) {
-      return;
-    }
-    owner.scheduler().handleStartResult(order.task(), order.run(), runnerId(), result);
-    owner.applyDecisions();
-    if (result == StartResult.FENCED) {
-      owner.onFenced();
-    }
-    callIfNeeded();
-  }
-
   /** Sends a stop order ahead of waiting starts, unless a stop for the run is already waiting. */
   void stop(TaskKey task, int run) {
-    if (address.hostPort().isEmpty()) {
-      return;
+    if (!address.hostPort().isEmpty()) {
+      orders.stop(task, run);
     }
-    orders.stop(task, run);
   }
 
-  private void sendStop(TaskKey task, int run) {
-    final long sentMillis = context.nowMillis();
-    Address to = address;
-    shard.runAfterUnlock(
-        () ->
-            context
-                .runners()
-                .stop(to, task, run, token, CALL_TIMEOUT_MILLIS)
-                .whenComplete(
-                    (ok, e) -> shard.run(() -> stopCompleted(task, run, ok, e, sentMillis))));
+  private boolean mayStart() {
+    return owner.mayStart() && !awaitsClock() && !hasRestartedSinceReport();
   }
 
-  private void stopCompleted(TaskKey task, int run, Boolean ok, Throwable e, long sentMillis) {
-    orders.orderCompleted(sentMillis, context.nowMillis(), e == null);
-    if (e != null || owner.isClosed()) {
-      // The scheduler repeats the stop until the run is known to have ended.
-      return;
-    }
-    if (!ok) {
-      owner.onFenced();
-      return;
-    }
-    owner.scheduler().handleStopAck(task, run, runnerId());
-    owner.applyDecisions();
-    callIfNeeded();
+  /** Returns whether waiting starts need a newer reading of the runner's clock. */
+  private boolean awaitsClock() {
+    return orders.hasStarts() && leases.isClockOutdated();
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -21,7 +21,7 @@
  * Runs all workflows for as long as its owner key exists in the store: replays the history, then
  * schedules. One object for each time that the instance becomes the owner.
  */
-final class WorkflowOwner implements RunnerLink.LinkOwner {
+final class WorkflowOwner implements LinkOwner {
 
   /** Interval of checks that are not triggered by a message, in milliseconds. */
   private static final long TICK_MILLIS = 50;
