--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
@@ -60,6 +60,13 @@
 
   private final Map<String, List<WorkflowEffect.Start>> running = new HashMap<>();
   private final Map<String, Long> placedMillis = new HashMap<>();
+
+  /** Runners that the scheduler holds back because of their health. */
+  final Set<String> heldRunners = new HashSet<>();
+
+  /** Latest log entry on the waiting of each step. */
+  final Map<String, List<Object>> lastWaits = new HashMap<>();
+
   private final Advice advice;
   private final AdviceRule rule;
   private final Call[] lanes;
@@ -218,10 +225,23 @@
         scheduler.handleStartResult(s.task(), s.run(), s.runner(), StartResult.PRESENT);
         running.computeIfAbsent(s.task().workflow(), k -> new ArrayList<>()).add(s);
         placedMillis.putIfAbsent(s.task().workflow(), now);
+      } else if (e instanceof WorkflowEffect.LogEntry n) {
+        recordLog(n);
       }
     }
   }
 
+  private void recordLog(WorkflowEffect.LogEntry n) {
+    String subject = n.fields().get(1).toString();
+    if (n.topic() == WorkflowEffect.Topic.WAITING) {
+      lastWaits.put(subject, n.fields());
+    } else if (n.topic() == WorkflowEffect.Topic.RUNNER_HELD) {
+      boolean held = n.fields().get(3).equals(true);
+      heldRunners.add(subject);
+      heldRunners.removeIf(r -> !held && r.equals(subject));
+    }
+  }
+
   /** Returns the active runs of a workflow. */
   List<WorkflowEffect.Start> running(String workflow) {
     return running.getOrDefault(workflow, List.of());
