A resumed owner acknowledges no ends to a runner that may have restarted

What callers would see: work that has ended on a restarted runner counts as lost and runs again.

Cause: an acknowledgement was sent within 300 ms of reading a report. An owner that was paused reads one that is older, and the runner may have restarted since; the new incarnation forgets its own ends up to that number.

Change: the age counts from when the runner sent the report, as its clock shows. Of two late reports in a row the second counts as recent, so that a slow owner still acknowledges. The fake runners count an acknowledgement of ends that an incarnation has not listed as a violation, unless it has been up for less than 300 ms.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -65,9 +65,12 @@
   private final CallLimiter.Sender contact = this::callIfNeeded;
   private long nextCallMillis;
 
-  /** A time at which the runner had not sent its latest report yet, on the monotonic clock. */
+  /** When the runner sent its latest report or a little earlier, on the monotonic clock. */
   private long lastReportMillis;
 
+  /** Whether the latest report was read so late that the runner may have restarted meanwhile. */
+  private boolean reportReadLate;
+
   private long reportedClockNumber;
   private long lastSentMillis;
   private int failures;
@@ -295,7 +298,7 @@
     failures = 0;
     nextCallMillis = 0;
     answered = true;
-    lastReportMillis = leases.updateClock(r.clockMillis(), sentMillis);
+    recordReportTime(leases.updateClock(r.clockMillis(), sentMillis));
     reportedClockNumber = leases.clockNumber();
     owner.scheduler().report(runnerId(), r, sentMillis);
     if (!r.ends().isEmpty()) {
@@ -316,6 +319,18 @@
     callIfNeeded();
   }
 
+  /**
+   * Records when the runner sent its report, {@code takenMillis} at the earliest. Of two reports in
+   * a row that were read late, the second counts as recent: the process is slow then and not just
+   * resumed, and would acknowledge nothing otherwise.
+   */
+  private void recordReportTime(long takenMillis) {
+    long now = context.nowMillis();
+    boolean late = now - takenMillis >= MAX_REPORT_AGE_MILLIS;
+    lastReportMillis = late && !reportReadLate ? takenMillis : now;
+    reportReadLate = late;
+  }
+
   private void callFailed() {
     failures++;
     long delayMillis = Math.min(MAX_RETRY_MILLIS, RETRY_MILLIS * failures);
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunnerCalls.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunnerCalls.java
@@ -118,14 +118,16 @@
     CompletableFuture<HoldAnswer> f = new CompletableFuture<>();
     time.afterMillis(timeout, noAnswer(f));
     String id = to.runner();
-    long deadline = time.nowMillis() + wait;
+    final long sentMillis = time.nowMillis();
+    long deadline = sentMillis + wait;
     call(
             id,
             false,
             timeout,
             () -> {
               Incarnation incarnation = runners.incarnations.get(id);
-              return new HeldBy(incarnation, runners.handleHold(id, token, acked, until));
+              return new HeldBy(
+                  incarnation, runners.handleHold(id, token, acked, until, sentMillis));
             })
         .thenAccept(
             x -> {
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunners.java
@@ -32,6 +32,9 @@
   private static final long MAX_STOP_MILLIS = 200;
   static final long POLL_MILLIS = 10;
 
+  /** Time for which a real runner is down at least between two incarnations; here it may be 0. */
+  private static final long MIN_DOWN_MILLIS = 300;
+
   /** Lowest rate of a runner's clock. */
   static final double MIN_CLOCK_RATE = 0.98;
 
@@ -87,6 +90,9 @@
     long leaseUntilMillis;
     long lastEndNumber;
 
+    /** Highest number of an end in a report. */
+    long lastListedEnd;
+
     /** What the runner's clock showed at the start of this incarnation. */
     final long firstClockMillis;
 
@@ -382,7 +388,7 @@
     return true;
   }
 
-  boolean handleHold(String id, long token, long acked, long leaseUntilMillis) {
+  boolean handleHold(String id, long token, long acked, long leaseUntilMillis, long sentMillis) {
     Incarnation incarnation = incarnations.get(id);
     advance(incarnation);
     if (token < incarnation.token) {
@@ -390,6 +396,11 @@
     }
     incarnation.token = token;
     extendLease(incarnation, leaseUntilMillis);
+    if (acked > incarnation.lastListedEnd
+        && sentMillis - incarnation.startMillis > MIN_DOWN_MILLIS) {
+      invariants.violations.add(
+          time.nowMillis() + " " + id + ": ends acknowledged that it has not listed");
+    }
     for (RunnerReport.End e : List.copyOf(incarnation.ends)) {
       if (e.number() <= acked) {
         incarnation.ends.remove(e);
@@ -409,6 +420,7 @@
     incarnation.running.forEach(
         (t, p) -> running.add(new RunnerReport.Running(t, p.run, p.checkpoint, 100, 1)));
     List<RunnerReport.End> ends = incarnation.ends.stream().limit(MAX_REPORTED_ENDS).toList();
+    ends.forEach(e -> incarnation.lastListedEnd = Math.max(incarnation.lastListedEnd, e.number()));
     return new RunnerReport(
         incarnation.wallStartMillis,
         incarnation.clockMillis(time.nowMillis()),
--- a/core/src/test/java/dev/dandelionport/core/dispatch/RunnerLinkTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/RunnerLinkTest.java
@@ -36,6 +36,29 @@
     assertThat(cell.invariants.violations).isEmpty();
   }
 
+  // An owner that was paused read a report late and acknowledged its ends to a runner that had
+  // restarted meanwhile, which forgets its own ends up to that number.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void resumedOwnerAcknowledgesNoEndsToNewIncarnation(long seed) {
+    PlatformCluster cell = new PlatformCluster(seed);
+    cell.time.runFor(2_000);
+    cell.submit(cell.cluster.anyNode(), "w", PlatformCluster.URGENT, "a", List.of(step(8)));
+    assertThat(cell.time.runUntil(() -> cell.runners.starts >= 8, 2_000)).isTrue();
+    WorkflowCluster.Node owner = cell.cluster.owner().orElseThrow();
+    cell.time.runFor(250);
+    owner.process.pause();
+    cell.time.runFor(330);
+    for (int i = 0; i < PlatformCluster.RUNNERS; i++) {
+      cell.runners.restart("r" + i);
+    }
+    cell.time.runFor(370);
+    owner.process.resume();
+    cell.time.runFor(8_000);
+    assertThat(owner.instance.isOwner()).isTrue();
+    assertThat(cell.invariants.violations).isEmpty();
+  }
+
   // A runner whose wall clock was set back during a restart was mistaken for its earlier
   // incarnation: its reports were dropped, its ends were not processed, and its runs never ended.
   @Test
