--- a/core/src/test/java/dev/dandelionport/core/dispatch/RestartedRunnerTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/RestartedRunnerTest.java
@@ -8,7 +8,11 @@
 import dev.dandelionport.core.workflow.TaskKey;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -113,6 +117,47 @@
     cutOffAndCheck(cell, awaitStart(cell));
   }
 
+  static LongStream seeds() {
+    long first = Long.getLong("dispatch.firstSeed", 20);
+    return LongStream.range(first, first + Long.getLong("dispatch.seeds", 12));
+  }
+
+  // Guards against any order of restarts, cuts and changes of the owner in which a task runs twice.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noTaskRunsTwiceWhenRunnersRestartAndAreCutOff(long seed) {
+    PlatformCluster cell = newCell(seed);
+    Random random = new Random(seed);
+    for (int i = 0; i < 80; i++) {
+      String runner = "r" + random.nextInt(PlatformCluster.RUNNERS);
+      if (random.nextInt(3) == 0) {
+        cell.runners.restart(runner);
+        cell.time.afterMillis(random.nextInt(1_500), () -> cell.runners.cutLinks.add(runner));
+        cell.time.afterMillis(9_000, () -> cell.runners.cutLinks.remove(runner));
+      }
+      submit(cell, "w" + i, step(4, 300));
+      disturbOwner(cell, random.nextInt(16), 300 + random.nextInt(3_000));
+      cell.time.runFor(100 + random.nextInt(900));
+    }
+    cell.time.runFor(10_000);
+    assertThat(cell.invariants.violations).isEmpty();
+  }
+
+  private static void disturbOwner(PlatformCluster cell, int kind, long millis) {
+    Optional<WorkflowCluster.Node> owner = cell.cluster.owner();
+    if (owner.isEmpty()) {
+      return;
+    }
+    WorkflowCluster.Node o = owner.get();
+    if (kind == 0) {
+      o.process.pause();
+      cell.time.afterMillis(millis, o.process::resume);
+    } else if (kind == 1) {
+      cell.cluster.kill(o.name);
+      cell.time.afterMillis(millis, () -> cell.cluster.start(o.name));
+    }
+  }
+
   private PlatformCluster newBusyCell(long seed) {
     PlatformCluster cell = newCell(seed);
     cell.time.runFor(10_000);
