--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerClock.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerClock.java
@@ -1,8 +1,9 @@
 package dev.dandelionport.core.dispatch;
 
 /**
- * A reading of a runner's clock, which may be up to 2 % slow. A runner that restarts begins a new
- * clock at any time. When the runner took the reading is known up to an interval.
+ * A reading of a runner's clock, which may be up to 2 % slow. A runner that restarts has a new
+ * clock, which may show any time at first. When the runner took the reading is known up to an
+ * interval.
  *
  * @param clockMillis what the clock showed, in milliseconds
  * @param earliestMillis earliest time of the reading, on the owner's monotonic clock
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -287,7 +287,7 @@
       incarnationSeenMillis = context.nowMillis();
       ends.reset();
       leases.forgetClock();
-      // The waiting orders are for the earlier incarnation, whose runs the scheduler marks as lost.
+      // The waiting orders are for the earlier incarnation, whose runs end with a complete report.
       orders.clear();
     }
     if (failures > 0 && unresponsiveReported) {
