--- a/core/src/test/java/dev/dandelionport/core/dispatch/RestartedRunnerTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/RestartedRunnerTest.java
@@ -135,7 +135,9 @@
         cell.time.afterMillis(random.nextInt(1_500), () -> cell.runners.cutLinks.add(runner));
         cell.time.afterMillis(9_000, () -> cell.runners.cutLinks.remove(runner));
       }
-      submit(cell, "w" + i, step(4, 300));
+      if (!cell.cluster.nodes.isEmpty()) {
+        submit(cell, "w" + i, step(4, 300));
+      }
       disturbOwner(cell, random.nextInt(16), 300 + random.nextInt(3_000));
       cell.time.runFor(100 + random.nextInt(900));
     }
