--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -65,13 +65,15 @@
   private final CallLimiter.Sender contact = this::callIfNeeded;
   private long nextCallMillis;
 
-  /** When the runner sent its latest report or a little earlier, on the monotonic clock. */
+  /** Time from which the age of the latest report counts, on the monotonic clock. */
   private long lastReportMillis;
 
   /** Whether the latest report was read so late that the runner may have restarted meanwhile. */
   private boolean reportReadLate;
 
+  /** Number of the runner's clock in its latest report. */
   private long reportedClockNumber;
+
   private long lastSentMillis;
   private int failures;
 
--- a/core/src/test/java/dev/dandelionport/core/dispatch/RestartedRunnerTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/RestartedRunnerTest.java
@@ -59,6 +59,13 @@
         .orElseThrow();
   }
 
+  /** Restarts all runners and starts the task at once; returns its runner. */
+  private String restartAllAndStart(PlatformCluster cell, long milliCores) {
+    runners.forEach(cell.runners::restart);
+    submit(cell, "w", step(1, milliCores));
+    return awaitStart(cell);
+  }
+
   private static void cutOffAndCheck(PlatformCluster cell, String runner) {
     cell.runners.cutLinks.add(runner);
     cell.time.runFor(CUT_MILLIS);
@@ -88,9 +95,7 @@
   void taskOfIdleRunnerThatHasRestartedRunsOnceWhenItsRunnerIsCutOff(long seed) {
     PlatformCluster cell = newCell(seed);
     cell.time.runFor(20_000);
-    runners.forEach(cell.runners::restart);
-    submit(cell, "w", step(1, 5_000));
-    String runner = awaitStart(cell);
+    String runner = restartAllAndStart(cell, 5_000);
     cell.time.runFor(300);
     cutOffAndCheck(cell, runner);
   }
@@ -100,9 +105,7 @@
   @ValueSource(longs = {1, 2, 3, 4})
   void taskOfBusyRunnerThatHasRestartedRunsOnceWhenItsRunnerIsCutOff(long seed) {
     PlatformCluster cell = newBusyCell(seed);
-    runners.forEach(cell.runners::restart);
-    submit(cell, "w", step(1, 3_000));
-    String runner = awaitStart(cell);
+    String runner = restartAllAndStart(cell, 3_000);
     cell.time.runFor(100);
     cutOffAndCheck(cell, runner);
   }
@@ -112,9 +115,7 @@
   @ValueSource(longs = {1, 2, 3, 4})
   void taskWhoseStartOnRestartedRunnerWasNotAnsweredRunsOnce(long seed) {
     PlatformCluster cell = newBusyCell(seed);
-    runners.forEach(cell.runners::restart);
-    submit(cell, "w", step(1, 3_000));
-    cutOffAndCheck(cell, awaitStart(cell));
+    cutOffAndCheck(cell, restartAllAndStart(cell, 3_000));
   }
 
   static LongStream seeds() {
