Share advice calls among queues and make gang calls worth their time

Cause: each instance makes one advice call at a time, and requests were taken in the order of placement.

Change: urgent queues go first; of the others, the queue with the fewest pending calls goes next. A call names enough runners that they add a quarter of its fixed time. While a gang has pending calls, a further one needs a shortfall of a fifth and as many runners.

--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceRunnerSelector.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceRunnerSelector.java
@@ -20,9 +20,23 @@
   /** Time that the runners of a gang call may add to it, as a multiple of the call's fixed time. */
   private static final double GANG_CALL_FACTOR = 0.5;
 
+  /**
+   * Minimum time that the runners of a call add to it, as a multiple of its fixed time, if there
+   * are as many to ask about. A call about few runners takes an instance nearly as long, and the
+   * answers remain valid for later calls of the step.
+   */
+  private static final double MIN_CALL_FACTOR = 0.25;
+
   /** Factor by which the requested capacity exceeds what the step needs. */
   private static final double SPARE_FACTOR = 1.6;
 
+  /**
+   * Factor by which the capacity that pending calls are expected to allow must exceed what is
+   * missing for no further call to be made. It is below {@link #SPARE_FACTOR}, so that small
+   * changes of the free capacity cause no call.
+   */
+  private static final double PENDING_SPARE_FACTOR = 1.2;
+
   /** Expected fraction of allowed runners before the first answer for a queue. */
   private static final double INITIAL_ALLOWED_FRACTION = 0.4;
 
@@ -138,14 +152,20 @@
         selectCheapest(s, q, v.allowedRunners, tasksOnAllowed, 1, 0, maxRunners);
     if (missing > 0 || !gang && v.fittingWithTicket + v.fittingOnAllowed < needed * SPARE_FACTOR) {
       double fraction = allowedFraction(q);
-      double tasksOnUndecided = SPARE_FACTOR * missing - fraction * v.pendingOnUndecided;
-      int minRunners = v.pendingOnUndecided > 0 ? 0 : MIN_RUNNERS_PER_CALL;
+      double expectedTasks = fraction * v.pendingOnUndecided;
+      double tasksOnUndecided =
+          expectedTasks > PENDING_SPARE_FACTOR * missing
+              ? 0
+              : SPARE_FACTOR * missing - expectedTasks;
+      int minRunners = tasksOnUndecided > 0 ? minRunnersPerCall(a) : 0;
       int maxUndecided = Math.min(maxRunners - selected.size(), MAX_RUNNERS_PER_CALL / 2);
       selected.addAll(
           selectCheapest(
               s, q, v.undecidedRunners, tasksOnUndecided, fraction, minRunners, maxUndecided));
     }
-    return selected;
+    boolean small = selected.size() < minRunnersPerCall(a);
+    // While a call is pending, a further one about few runners is not worth its fixed time.
+    return gang && small && s.pendingAdviceCalls > 0 ? List.of() : selected;
   }
 
   /**
@@ -179,7 +199,17 @@
    * parallel.
    */
   private static int maxRunnersPerGangCall(Advice a) {
-    double runners = GANG_CALL_FACTOR * a.decideMillis() / Math.max(0.01, a.perRunnerMillis());
-    return (int) Math.max(MIN_RUNNERS_PER_CALL, Math.min(MAX_RUNNERS_PER_CALL, runners));
+    return runnersWithin(a, GANG_CALL_FACTOR, MAX_RUNNERS_PER_CALL);
+  }
+
+  /** Returns the number of runners without advice that a call names if there are as many. */
+  private static int minRunnersPerCall(Advice a) {
+    return runnersWithin(a, MIN_CALL_FACTOR, MAX_RUNNERS_PER_CALL / 2);
+  }
+
+  /** Returns how many runners lengthen a call by {@code factor} times its fixed time. */
+  private static int runnersWithin(Advice a, double factor, int maxRunners) {
+    double runners = factor * a.decideMillis() / Math.max(0.01, a.perRunnerMillis());
+    return (int) Math.max(MIN_RUNNERS_PER_CALL, Math.min(maxRunners, runners));
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceTracker.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceTracker.java
@@ -44,10 +44,10 @@
   private final CellState cell;
 
   /** Steps that need advice, in the order of the placement. */
-  private final Set<Step> requested = new LinkedHashSet<>();
+  private final StepsByQueue requested = new StepsByQueue();
 
   /** Steps whose dependencies are about to be done. */
-  private final Set<Step> prefetchSteps = new LinkedHashSet<>();
+  private final StepsByQueue prefetchSteps = new StepsByQueue();
 
   /** Gangs that currently do not fit even if all runners without advice are allowed. */
   private final Set<Step> gangsWithoutCapacity = new LinkedHashSet<>();
@@ -55,6 +55,9 @@
   /** Gangs with a pending discovery call. */
   private final Set<Step> discovering = new HashSet<>();
 
+  /** Number of pending calls by queue. */
+  private final Map<String, Integer> pendingCalls = new HashMap<>();
+
   private AdviceRunnerSelector selector;
 
   AdviceTracker(CellState cell) {
@@ -88,7 +91,9 @@
 
   /**
    * Returns the next call of a queue whose fixed call time is at most {@code maxMillis}: first for
-   * steps that wait, then prefetches, then for gangs without capacity.
+   * steps that wait, then prefetches, then for gangs without capacity. Urgent queues go first; of
+   * the others, the one with the fewest pending calls. Slow calls of one queue therefore leave
+   * instances to the others, whatever their priority.
    */
   Optional<AdviceRequest> next(double maxMillis) {
     return next(requested, maxMillis)
@@ -96,7 +101,21 @@
         .or(() -> nextDiscovery(maxMillis));
   }
 
-  private Optional<AdviceRequest> next(Set<Step> steps, double maxMillis) {
+  private Optional<AdviceRequest> next(StepsByQueue steps, double maxMillis) {
+    for (Set<Step> ofQueue : steps.inOrder(this::pendingCallsOf)) {
+      Optional<AdviceRequest> call = nextOfQueue(ofQueue, maxMillis);
+      if (call.isPresent()) {
+        return call;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private int pendingCallsOf(String queue) {
+    return pendingCalls.getOrDefault(queue, 0);
+  }
+
+  private Optional<AdviceRequest> nextOfQueue(Set<Step> steps, double maxMillis) {
     for (Iterator<Step> i = steps.iterator(); i.hasNext(); ) {
       Step s = i.next();
       Queue q = cell.queueOf(s);
@@ -147,8 +166,9 @@
         && cell.now >= s.nextAdviceMillis;
   }
 
-  private static AdviceRequest startCall(Step s, Advice a, List<Runner> runners) {
+  private AdviceRequest startCall(Step s, Advice a, List<Runner> runners) {
     s.pendingAdviceCalls++;
+    pendingCalls.merge(s.workflow.spec.queue(), 1, Integer::sum);
     runners.forEach(r -> s.pendingAdviceRunners.put(r.id(), r.incarnation));
     List<String> ids = runners.stream().map(Runner::id).toList();
     return new AdviceRequest(s.key, ids, AdviceRunnerSelector.callMillis(a, ids.size()));
@@ -182,6 +202,7 @@
   void handleAnswer(
       Step s, List<String> requestedRunners, Map<String, String> tickets, long validMillis) {
     s.pendingAdviceCalls--;
+    pendingCalls.merge(s.workflow.spec.queue(), -1, Integer::sum);
     discovering.remove(s);
     final Map<String, Long> requestedIncarnations = new HashMap<>(s.pendingAdviceRunners);
     requestedRunners.forEach(s.pendingAdviceRunners::remove);
