EtcdStoreTest allows 5 s for a call of the store

None of the tests is about the length of that timeout, which stays 1 s in the program; the store of the tests now takes it as an argument.

--- a/node/src/main/java/dev/dandelionport/node/connection/EtcdStore.java
+++ b/node/src/main/java/dev/dandelionport/node/connection/EtcdStore.java
@@ -40,6 +40,7 @@
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final HttpPool pool;
+  private final long timeoutMillis;
   private final AtomicInteger pendingCalls = new AtomicInteger();
   private final Set<StoreWatch> watches = ConcurrentHashMap.newKeySet();
 
@@ -53,7 +54,13 @@
 
   /** Creates a client; {@code tls} is null to trust the default certificate authorities. */
   public EtcdStore(String url, TlsFiles tls) {
+    this(url, tls, TIMEOUT_MILLIS);
+  }
+
+  /** Creates a client whose calls fail if they are not answered in {@code timeoutMillis}. */
+  EtcdStore(String url, TlsFiles tls, long timeoutMillis) {
     this.pool = new HttpPool(url, MAX_ANSWER_BYTES, true, tls);
+    this.timeoutMillis = timeoutMillis;
   }
 
   @Override
@@ -192,7 +199,7 @@
           new StoreUnavailableException("too many calls to the store are under way", null));
     }
     return pool.send(
-            c -> c.prepare().post(path).content(MediaType.JSON, body.toString()), TIMEOUT_MILLIS)
+            c -> c.prepare().post(path).content(MediaType.JSON, body.toString()), timeoutMillis)
         .handle(
             (r, e) -> {
               pendingCalls.decrementAndGet();
