Refuse submissions that certainly cannot be served

Cause: nothing was ever refused. Under overload, work without a chance was accepted, waited until it was of no use and delayed other callers.

It refuses work that no runner, pool or quota could ever run, and work that would end after three times its allowed time even in the best case. WorkflowAnswer has a new field for that instead of a new status, because an older process cannot decode an unknown constant.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
@@ -1,5 +1,6 @@
 package dev.dandelionport.core.dispatch;
 
+import dev.dandelionport.core.admission.Refusal;
 import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
 import dev.dandelionport.core.message.PeerMessage.WorkflowCall;
 import dev.dandelionport.core.message.WorkflowCallKind;
@@ -100,11 +101,22 @@
     WorkflowSpec spec =
         new WorkflowSpec(
             id, q.name(), account, body.payload(), body.steps(), body.recurrence(), false);
+    Optional<Refusal> refusal = scheduler.refusalOf(spec);
+    if (refusal.isPresent()) {
+      applyDecisions.run();
+      return answerNow(refusalAnswer(refusal.get()));
+    }
     scheduler.submit(spec);
     applyDecisions.run();
     return answerWhenDurable(new WorkflowAnswer(WorkflowStatus.OK, null, 0, 0));
   }
 
+  private WorkflowAnswer refusalAnswer(Refusal r) {
+    long retryMillis = Math.max(1, r.returnMillis() - scheduler.nowMillis());
+    return new WorkflowAnswer(
+        WorkflowStatus.REFUSED, null, 0, retryMillis, r.reason().isOverShare());
+  }
+
   private CompletableFuture<WorkflowAnswer> answerWhenDurable(WorkflowAnswer answer) {
     CompletableFuture<WorkflowAnswer> f = new CompletableFuture<>();
     pendingAnswers.add(f);
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLoad.java
@@ -129,6 +129,8 @@
       "adviceFree", advice.free(),
       "adviceFailed", advice.failed(),
       "early", queuedCalls,
+      "refused", cell.refused(),
+      "returning", cell.returning(),
       "lagMaxMillis", timerLags.maxMillis(),
       "lagMeanMillis", timerLags.meanMillis()
     };
--- a/core/src/main/java/dev/dandelionport/core/message/PeerMessage.java
+++ b/core/src/main/java/dev/dandelionport/core/message/PeerMessage.java
@@ -156,10 +156,20 @@
    * @param state state of the workflow, or null if the answer has none
    * @param pending number of waiting workflows
    * @param retryMillis time after which a refused caller should retry, in milliseconds
+   * @param overShare whether it is refused only because its account is over its fair share; a field
+   *     and not a status of its own, because a process that does not know it must be able to read
+   *     the refusal
    */
-  record WorkflowAnswer(WorkflowStatus status, WorkflowState state, int pending, long retryMillis)
+  record WorkflowAnswer(
+      WorkflowStatus status, WorkflowState state, int pending, long retryMillis, boolean overShare)
       implements PeerMessage {
 
+    /** Creates an answer that is no refusal for an account's share. */
+    public WorkflowAnswer(
+        WorkflowStatus status, WorkflowState state, int pending, long retryMillis) {
+      this(status, state, pending, retryMillis, false);
+    }
+
     /** Creates an answer with a status only. */
     public static WorkflowAnswer of(WorkflowStatus status) {
       return new WorkflowAnswer(status, null, 0, 0);
--- a/core/src/main/java/dev/dandelionport/core/workflow/CellLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/CellLoad.java
@@ -13,6 +13,8 @@
  * @param coresUsedPercent percentage of the listed runners' processor capacity that runs have
  *     reserved
  * @param passes counts of the placement passes since the previous load figures
+ * @param refused submissions refused by admission since the previous load figures
+ * @param returning refused submissions that are expected to return
  */
 public record CellLoad(
     Map<String, Integer> waitingSteps,
@@ -20,7 +22,9 @@
     Map<String, Integer> runs,
     RunnerCounts runners,
     int coresUsedPercent,
-    PassCounts passes) {
+    PassCounts passes,
+    int refused,
+    int returning) {
 
   /**
    * Number of runners in each state; a runner may be in several.
@@ -35,7 +39,7 @@
   public record RunnerCounts(
       int listed, int confirmed, int unresponsive, int quarantined, int draining, int unlisted) {}
 
-  static CellLoad of(CellState cell, PassCounts passes) {
+  static CellLoad of(CellState cell, PassCounts passes, int refused, int returning) {
     Map<String, Integer> steps = new TreeMap<>();
     int tasks = 0;
     for (Step s : cell.ready) {
@@ -58,7 +62,7 @@
       }
     }
     int percent = (int) (100 * used / Math.max(1, capacity));
-    return new CellLoad(steps, tasks, runs, count(cell), percent, passes);
+    return new CellLoad(steps, tasks, runs, count(cell), percent, passes, refused, returning);
   }
 
   private static RunnerCounts count(CellState cell) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/CellState.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/CellState.java
@@ -141,17 +141,18 @@
     if (a == null) {
       return Integer.MAX_VALUE;
     }
-    ResourceVector c = a.ceiling();
-    ResourceVector used = running(a.name());
-    return s.spec
-        .size()
-        .countFittingIn(
-            new ResourceVector(
-                0,
-                0,
-                remaining(c.milliCores(), used.milliCores()),
-                remaining(c.memoryMb(), used.memoryMb()),
-                (int) remaining(c.accelerators(), used.accelerators())));
+    return countBelowCeiling(s.spec.size(), a.ceiling(), running(a.name()));
+  }
+
+  /** Returns how many more tasks of a size a ceiling permits. */
+  static int countBelowCeiling(ResourceVector size, ResourceVector c, ResourceVector used) {
+    return size.countFittingIn(
+        new ResourceVector(
+            0,
+            0,
+            remaining(c.milliCores(), used.milliCores()),
+            remaining(c.memoryMb(), used.memoryMb()),
+            (int) remaining(c.accelerators(), used.accelerators())));
   }
 
   /** Returns the amount left below a ceiling; a ceiling of 0 means no limit. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -36,10 +36,10 @@
    * Fraction of the expected run time that must remain before the due time; less than 1 because
    * estimates are rough.
    */
-  private static final double MIN_REMAINING_FRACTION = 0.7;
+  static final double MIN_REMAINING_FRACTION = 0.7;
 
   /** Multiple of its allowed time after which a workflow's result is of no use. */
-  private static final double WORTHLESS_FACTOR = 3;
+  static final double WORTHLESS_FACTOR = 3;
 
   /**
    * Minimum remaining validity of a ticket, in milliseconds; covers writing the record and sending
@@ -228,6 +228,11 @@
         && r.health.acceptsRuns(cell.now);
   }
 
+  /** Returns the free capacity of a runner that work of a priority may use at once. */
+  ResourceVector freeFor(Runner r, int priority) {
+    return priority > 0 ? r.free().minus(headroom.headroomOn(r)) : r.free();
+  }
+
   /**
    * Returns how many more tasks of a step are to start on a runner. Unless the step may use the
    * headroom, its tasks leave that free, and best-effort ones only start where as much processor
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunLifecycle.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunLifecycle.java
@@ -142,6 +142,9 @@
     RunnerHealth h = r.runner.health;
     Task t = r.task;
     boolean wasQuarantined = h.isQuarantined();
+    if (outcome == RunEnd.DONE && t.step.spec.gang()) {
+      recordGangRun(r);
+    }
     if (outcome == RunEnd.DONE && r.startSentMillis > 0) {
       boolean fullRun = t.checkpoint.isEmpty() && !r.inherited && !t.step.spec.gang();
       long runMillis = cell.now - r.startSentMillis;
@@ -167,6 +170,23 @@
     }
   }
 
+  /** Records the run time of a gang at the end of its first member, from its last start. */
+  private void recordGangRun(Run first) {
+    Step s = first.task.step;
+    if (s.isDone() || !first.task.checkpoint.isEmpty()) {
+      return;
+    }
+    long startMillis = first.startSentMillis;
+    for (Task t : s.tasks) {
+      if (t.run != null) {
+        startMillis = t.run.inherited ? cell.now : Math.max(startMillis, t.run.startSentMillis);
+      }
+    }
+    if (startMillis > 0 && startMillis < cell.now && !first.inherited) {
+      cell.runTimes.recordGangRun(s, cell.now - startMillis);
+    }
+  }
+
   /**
    * Applies the end of a run to the state that the journal rebuilds; used for live events and in
    * replay.
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunTimeStatistics.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunTimeStatistics.java
@@ -19,11 +19,15 @@
   /** Quantile of the run times that counts as a long run. */
   private static final double LONG_QUANTILE = 0.97;
 
+  /** Quantile of the run times that counts as a short run. */
+  private static final double SHORT_QUANTILE = 0.1;
+
   private static final class QueueRunTimes {
     double estimateRatio = 1;
     int runCount;
     final long[] recentMillis = new long[WINDOW_RUNS];
     long longRunMillis;
+    long shortRunMillis;
 
     void add(long millis) {
       recentMillis[runCount++ % WINDOW_RUNS] = millis;
@@ -31,12 +35,16 @@
         long[] sorted = Arrays.copyOf(recentMillis, Math.min(runCount, WINDOW_RUNS));
         Arrays.sort(sorted);
         longRunMillis = sorted[(int) (LONG_QUANTILE * (sorted.length - 1))];
+        shortRunMillis = sorted[(int) (SHORT_QUANTILE * (sorted.length - 1))];
       }
     }
   }
 
   private final Map<String, QueueRunTimes> queues = new HashMap<>();
 
+  /** Times from the last start of a gang's members to its end, by queue. */
+  private final Map<String, QueueRunTimes> gangs = new HashMap<>();
+
   /** Records a complete run and returns the ratio of its time to the expected time. */
   double recordRun(Step s, long millis) {
     final double expected = Math.max(1, expectedMillis(s));
@@ -61,4 +69,24 @@
     QueueRunTimes q = queues.get(s.workflow.spec.queue());
     return q == null ? 0 : q.longRunMillis;
   }
+
+  /**
+   * Records a complete run of a gang. It is used for {@link #shortRunMillis} only: members also
+   * wait for each other, so that their times say little about the speed of a runner.
+   */
+  void recordGangRun(Step s, long millis) {
+    gangs.computeIfAbsent(s.workflow.spec.queue(), k -> new QueueRunTimes()).add(millis);
+  }
+
+  /**
+   * Returns the time that nearly all runs of a queue exceed, in milliseconds; 0 before enough runs
+   * were recorded.
+   */
+  long shortRunMillis(String queue) {
+    QueueRunTimes q = queues.get(queue);
+    QueueRunTimes g = gangs.get(queue);
+    long single = q == null ? 0 : q.shortRunMillis;
+    long gang = g == null ? 0 : g.shortRunMillis;
+    return single == 0 || gang == 0 ? Math.max(single, gang) : Math.min(single, gang);
+  }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/TokenBucket.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/TokenBucket.java
@@ -13,16 +13,21 @@
 
   /** Takes a token at a refill rate of {@code perSecond}; returns false if none is left. */
   boolean tryTake(double perSecond, long now) {
+    if (!hasToken(perSecond, now)) {
+      return false;
+    }
+    tokens--;
+    return true;
+  }
+
+  /** Returns whether a token is left at a refill rate of {@code perSecond}. */
+  boolean hasToken(double perSecond, long now) {
     double capacity = Math.max(1, perSecond * burstSeconds);
     tokens =
         tokens < 0
             ? capacity
             : Math.min(capacity, tokens + perSecond * (now - refilledMillis) / 1_000);
     refilledMillis = now;
-    if (tokens < 1) {
-      return false;
-    }
-    tokens--;
-    return true;
+    return tokens >= 1;
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
@@ -38,6 +38,7 @@
     RUNNER_LISTED,
     RUNNER_GONE,
     ENDS_LEFT_OUT,
-    ADVICE
+    ADVICE,
+    REFUSED
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowLimits.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowLimits.java
@@ -9,10 +9,30 @@
  * @param remoteFactor factor by which a task takes longer away from its data or its gang's rack
  * @param checkpointIntervalMillis interval at which a task that saves checkpoints does so
  * @param closedRetentionMillis time for which an ended workflow can still be queried
+ * @param admissionControl whether submissions that certainly cannot be served are refused, in cells
+ *     whose queues have a priority
  */
 public record WorkflowLimits(
     long gangTimeoutMillis,
     long maxStopMillis,
     double remoteFactor,
     long checkpointIntervalMillis,
-    long closedRetentionMillis) {}
+    long closedRetentionMillis,
+    boolean admissionControl) {
+
+  /** Creates limits with admission control. */
+  public WorkflowLimits(
+      long gangTimeoutMillis,
+      long maxStopMillis,
+      double remoteFactor,
+      long checkpointIntervalMillis,
+      long closedRetentionMillis) {
+    this(
+        gangTimeoutMillis,
+        maxStopMillis,
+        remoteFactor,
+        checkpointIntervalMillis,
+        closedRetentionMillis,
+        true);
+  }
+}
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -1,12 +1,12 @@
 package dev.dandelionport.core.workflow;
 
+import dev.dandelionport.core.admission.Refusal;
 import dev.dandelionport.core.workflow.Run.Phase;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import dev.dandelionport.core.workflow.WorkflowRecord.Accepted;
 import dev.dandelionport.core.workflow.WorkflowRecord.PolicyApplied;
 import dev.dandelionport.core.workflow.WorkflowRecord.Removed;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -21,9 +21,6 @@
  */
 public final class WorkflowScheduler {
 
-  /** Time for which unused submissions of an account accumulate, in seconds. */
-  private static final double BURST_SECONDS = 1;
-
   private final CellState cell;
   private final RunLifecycle runs;
   private final AdviceTracker advice;
@@ -33,7 +30,8 @@
   private final Watchdog watchdog;
   private final WaitLogger waitLogger;
   private final WorkflowReplay replay;
-  private final Map<String, TokenBucket> submissionRates = new HashMap<>();
+  private final SubmissionAdmission admission;
+  private final SubmissionRates submissionRates;
 
   /** Creates a scheduler without workflows or runners. */
   public WorkflowScheduler(WorkflowLimits limits) {
@@ -47,6 +45,8 @@
     watchdog = new Watchdog(cell, runs, placement.gangs(), advice);
     waitLogger = new WaitLogger(cell, placement, advice);
     replay = new WorkflowReplay(cell, runs);
+    submissionRates = new SubmissionRates(cell);
+    admission = new SubmissionAdmission(cell, placement::freeFor, submissionRates);
   }
 
   /** Sets the time of the events that follow: the owner's monotonic clock and the wall clock. */
@@ -55,6 +55,11 @@
     cell.wallMillis = wallMillis;
   }
 
+  /** Returns the time of the latest event, on the owner's monotonic clock. */
+  public long nowMillis() {
+    return cell.now;
+  }
+
   /** Returns the records and effects produced since the last call. */
   public WorkflowDecision takeDecision() {
     return cell.takeDecision();
@@ -88,17 +93,20 @@
     return cell.appliedPolicyVersion;
   }
 
+  /**
+   * Returns why a workflow is not accepted, or empty if it may be submitted. A workflow whose id is
+   * known is never refused.
+   */
+  public Optional<Refusal> refusalOf(WorkflowSpec spec) {
+    return cell.workflows.containsKey(spec.id()) ? Optional.empty() : admission.check(spec);
+  }
+
   /** Accepts a workflow unless its id is known. Returns whether it was new. */
   public boolean submit(WorkflowSpec spec) {
     if (cell.workflows.containsKey(spec.id())) {
       return false;
     }
-    ClusterPolicy.Account a = cell.policy.accounts().get(spec.account());
-    boolean excess =
-        a != null
-            && !submissionRates
-                .computeIfAbsent(spec.account(), k -> new TokenBucket(BURST_SECONDS))
-                .tryTake(a.weight(), cell.now);
+    boolean excess = submissionRates.recordSubmission(spec.account());
     Workflow w = new Workflow(spec.withExcess(excess), cell.wallMillis, cell.now);
     cell.workflows.put(spec.id(), w);
     cell.addRecord(new Accepted(w.spec, cell.wallMillis));
@@ -209,6 +217,7 @@
    * active on it.
    */
   public void setRunners(List<RunnerDescription> list) {
+    admission.setRunners(list);
     Set<String> ids = new HashSet<>();
     for (RunnerDescription d : list) {
       ids.add(d.id());
@@ -360,11 +369,12 @@
   }
 
   /**
-   * Returns the load of the cell. The counts of the placement passes cover the time since the last
-   * call.
+   * Returns the load of the cell. The counts of the placement passes and of the refusals cover the
+   * time since the last call.
    */
   public CellLoad load() {
-    return CellLoad.of(cell, placement.takeCounts());
+    return CellLoad.of(
+        cell, placement.takeCounts(), admission.takeRefused(), admission.returning());
   }
 
   /** Removes workflows that ended longer ago than the retention time and have no runs left. */
--- a/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
@@ -1,5 +1,6 @@
 package dev.dandelionport.core.workflow;
 
+import dev.dandelionport.core.admission.Refusal;
 import dev.dandelionport.core.common.ResourceVector;
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import java.util.ArrayList;
@@ -7,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.SplittableRandom;
@@ -109,6 +111,7 @@
   private final ResourceVector usable;
   private long sequence;
   private long now;
+  private int refusals;
 
   /** Creates a cell; each instance handles one advice call at a time. */
   CellSimulation(
@@ -155,11 +158,28 @@
         WorkflowSpec spec =
             new WorkflowSpec(id, l.name(), "", "", d.steps(), Recurrence.ONCE, false);
         submissions.put(id, new Submission(spec, d, l, (long) t));
-        schedule((long) t, () -> scheduler.submit(spec));
+        schedule((long) t, () -> submit(spec));
       }
     }
   }
 
+  /** Submits a workflow unless it is refused; a refused caller returns at the time it was given. */
+  private void submit(WorkflowSpec spec) {
+    Optional<Refusal> refusal = scheduler.refusalOf(spec);
+    if (refusal.isPresent()) {
+      refusals++;
+      // The scheduler's clock is offset by 1.
+      schedule(refusal.get().returnMillis() - 1, () -> submit(spec));
+    } else {
+      scheduler.submit(spec);
+    }
+  }
+
+  /** Returns the number of refused submissions. */
+  int refusals() {
+    return refusals;
+  }
+
   /**
    * Returns a sampled workflow of which each gang fits on its allowed runners with capacity to
    * spare.
--- a/core/src/test/java/dev/dandelionport/core/workflow/ClassShareTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/ClassShareTest.java
@@ -136,6 +136,8 @@
       c.arrivals(24_000, 28_000, BURST_FACTOR * baseFactor);
       c.arrivals(28_000, 36_000, baseFactor);
       c.run(END_MILLIS, 16_000, 16_000 + ownerAbsentMillis);
+      // Guards against refusals in a cell that can serve bursts and a short absence of its owner.
+      assertThat(c.refusals()).isZero();
       for (QueueLoad l : LOADS) {
         sums.merge(l.name(), c.outcome(l.name(), 0, END_MILLIS), Outcome::plus);
       }
--- a/node/src/test/java/dev/dandelionport/node/connection/MemberMessagesTest.java
+++ b/node/src/test/java/dev/dandelionport/node/connection/MemberMessagesTest.java
@@ -10,7 +10,10 @@
 import dev.dandelionport.core.message.PeerMessage.Member;
 import dev.dandelionport.core.message.PeerMessage.MemberAnswer;
 import dev.dandelionport.core.message.PeerMessage.MemberCall;
+import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
+import dev.dandelionport.core.message.WorkflowStatus;
 import dev.dandelionport.core.port.InstanceInfo;
+import dev.dandelionport.core.workflow.WorkflowState;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.List;
@@ -28,7 +31,9 @@
         new MemberAnswer(false, false, null, List.of(), List.of()),
         new MemberAnswer(true, true, new KnownOwner(info, 8, 9), List.of(member), List.of(info)),
         new ClaimCall(7),
-        new ClaimAnswer(true));
+        new ClaimAnswer(true),
+        new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, 700, true),
+        new WorkflowAnswer(WorkflowStatus.OK, WorkflowState.RUNNING, 3, 0));
   }
 
   // Guards against lists of instances, including empty ones, that are decoded differently from how
