Fair shares of the client accounts

Cause: the weight of an account only limited the rate of submissions that rank as normal, and a workflow above that rate ranked behind for its whole life. An account that stays within its rate could take the cell from the others, and one that uses nothing could be kept behind.

Change: ShareLedger is generic over its holder and keeps a recent use that decays with a half-life of 5 s; the product's own cell and the workflows use the same class, and its division of shares sorts once instead of iterating. Placement orders accounts below their fair share first within a rank and priority, Preemption stops no runs for an account over its share, and Headroom keeps nothing free for it. The stored flag ranks a workflow behind only until its account is below its fair share and has no other work waiting. Nothing changes while fewer than two accounts wait or none of them has a weight. DP2018 and the WAITING lines show the decision.

--- a/bench/src/main/java/dev/dandelionport/bench/ShareSampler.java
+++ b/bench/src/main/java/dev/dandelionport/bench/ShareSampler.java
@@ -18,7 +18,7 @@
  * so that figures of different schedulers are comparable.
  */
 final class ShareSampler {
-  private final ShareLedger ledger = new ShareLedger();
+  private final ShareLedger<TeamId> ledger = new ShareLedger<>();
   private final ResourceVector capacity;
   private final Map<JobKey, Integer> waiting = new HashMap<>();
   private final Map<TeamId, Integer> waitingByTeam = new TreeMap<>();
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLoad.java
@@ -104,6 +104,7 @@
       "waitingTasks", cell.waitingTasks(),
       "runs", cell.runs().toString(),
       "coresUsedPercent", cell.coresUsedPercent(),
+      "accountsOverShare", cell.accountsOverShare(),
       "listed", runners.listed(),
       "answered", runners.confirmed(),
       "silent", runners.unresponsive(),
--- a/core/src/main/java/dev/dandelionport/core/scheduler/Teams.java
+++ b/core/src/main/java/dev/dandelionport/core/scheduler/Teams.java
@@ -10,7 +10,7 @@
 
 /** Limits, permits, running attempts and shares of all teams. */
 final class Teams {
-  final ShareLedger shares = new ShareLedger();
+  final ShareLedger<TeamId> shares = new ShareLedger<>();
   private final Map<TeamId, TeamUsage> usages = new TreeMap<>();
 
   TeamUsage of(TeamId id) {
--- a/core/src/main/java/dev/dandelionport/core/share/ShareLedger.java
+++ b/core/src/main/java/dev/dandelionport/core/share/ShareLedger.java
@@ -2,27 +2,54 @@
 
 import dev.dandelionport.core.common.ResourceVector;
 import dev.dandelionport.core.common.SortedCopies;
-import dev.dandelionport.core.common.TeamId;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 
 /**
- * Tracks the resources that each team uses, as weighted dominant shares of the capacity in service.
+ * Tracks the resources that each holder uses, as weighted dominant shares of the capacity in
+ * service. A holder is a team of the product's own cell or a client account of the workflows.
+ *
+ * @param <K> identifies a holder
  */
-public final class ShareLedger {
+public final class ShareLedger<K extends Comparable<? super K>> {
 
-  /** Weight of a team without a share; such a team only gets capacity that no other team needs. */
+  /**
+   * Weight of a holder without a share; such a holder only gets capacity that no other holder
+   * needs.
+   */
   private static final double MIN_WEIGHT = 1e-9;
 
-  private final Map<TeamId, ResourceVector> used = new HashMap<>();
-  private Map<TeamId, Double> weights = Map.of();
+  /**
+   * Time in which the recent use decays to 1/e, in milliseconds; its half-life is 5 s, a few run
+   * times of most tasks.
+   */
+  private static final double RECENT_DECAY_MILLIS = 5_000 / Math.log(2);
+
+  /** Recent shares below this are dropped. */
+  private static final double MIN_RECENT_SHARE = 1e-9;
+
+  private final Map<K, ResourceVector> used = new HashMap<>();
+  private Map<K, Double> weights = Map.of();
+
+  /** Dominant shares with exponential decay, by holder. */
+  private final Map<K, Double> recentShares = new HashMap<>();
+
+  private double weightSum;
+
+  /** Time of the last call of {@link #advance}; long ago before the first one. */
+  private long advancedMillis = Long.MIN_VALUE / 2;
+
   private ResourceVector capacity = ResourceVector.ZERO;
 
-  /** Replaces the weights of the teams. */
-  public void setWeights(Map<TeamId, Double> newWeights) {
+  /** Replaces the weights of the holders. */
+  public void setWeights(Map<K, Double> newWeights) {
     weights = SortedCopies.of(newWeights);
+    weightSum = weights.values().stream().mapToDouble(Double::doubleValue).sum();
   }
 
   /** Sets the capacity in service. */
@@ -30,75 +57,135 @@
     capacity = newCapacity;
   }
 
-  /** Adds to the resources that a team uses. */
-  public void add(TeamId team, ResourceVector size) {
-    used.merge(team, size, ResourceVector::plus);
+  /** Adds to the resources that a holder uses. */
+  public void add(K key, ResourceVector size) {
+    used.merge(key, size, ResourceVector::plus);
   }
 
-  /** Subtracts from the resources that a team uses. */
-  public void remove(TeamId team, ResourceVector size) {
-    used.computeIfPresent(team, (k, v) -> v.minus(size));
+  /** Subtracts from the resources that a holder uses. */
+  public void remove(K key, ResourceVector size) {
+    used.computeIfPresent(key, (k, v) -> v.minus(size));
   }
 
-  /** Returns the resources that a team uses. */
-  public ResourceVector used(TeamId team) {
-    return used.getOrDefault(team, ResourceVector.ZERO);
+  /** Returns the resources that a holder uses. */
+  public ResourceVector used(K key) {
+    return used.getOrDefault(key, ResourceVector.ZERO);
   }
 
-  /** Returns the largest fraction of any resource that a team uses. */
-  public double dominantShare(TeamId team) {
-    return used(team).dominantShareOf(capacity);
+  /** Returns the largest fraction of any resource that a holder uses. */
+  public double dominantShare(K key) {
+    return used(key).dominantShareOf(capacity);
   }
 
   /**
-   * Returns the dominant share divided by the team's weight; the team with the lowest value goes
-   * first.
+   * Returns the dominant share divided by the holder's weight; the holder with the lowest value
+   * goes first.
    */
-  public double weightedShare(TeamId team) {
-    return dominantShare(team) / weight(team);
+  public double weightedShare(K key) {
+    return dominantShare(key) / weight(key);
   }
 
-  private double weight(TeamId team) {
-    return Math.max(MIN_WEIGHT, weights.getOrDefault(team, 0.0));
+  /** Returns whether a holder has a weight. */
+  public boolean hasWeight(K key) {
+    return weights.getOrDefault(key, 0.0) > 0;
+  }
+
+  /** Returns the holder's part of the capacity if all holders with a weight use their part. */
+  public double guaranteedShare(K key) {
+    return weight(key) / Math.max(MIN_WEIGHT, weightSum);
   }
 
   /**
-   * Returns the difference of each team from its fair share of the used capacity, as a fraction:
-   * positive above it. The fair share of a team that does not wait is what it uses; the other teams
-   * divide the rest by weight.
+   * Accounts for the use since the last call in the recent use, which decays with a half-life of 5
+   * s. The use is taken as constant in between, so calls should be much more frequent than that.
+   * The first call takes it as constant until then.
+   */
+  public void advance(long nowMillis) {
+    double kept = Math.exp(-(nowMillis - advancedMillis) / RECENT_DECAY_MILLIS);
+    advancedMillis = nowMillis;
+    recentShares.replaceAll((k, v) -> kept * v);
+    for (K k : used.keySet()) {
+      double share = dominantShare(k);
+      // Without known capacity, the share of any use is infinite.
+      if (share > 0 && share < Double.POSITIVE_INFINITY) {
+        recentShares.merge(k, (1 - kept) * share, Double::sum);
+      }
+    }
+    recentShares.values().removeIf(v -> v < MIN_RECENT_SHARE);
+  }
+
+  /** Returns the mean of the holder's dominant share now and its recent one. */
+  public double smoothedShare(K key) {
+    return (dominantShare(key) + recentShares.getOrDefault(key, 0.0)) / 2;
+  }
+
+  /**
+   * Returns the smoothed share of each given holder as a multiple of its fair share of what all of
+   * them use: above 1 if it uses more.
+   *
+   * @param waiting holders that need more than they use, without limit
+   * @param others holders whose fair share is at most what they use
+   */
+  public Map<K, Double> ratiosToFairShare(Set<K> waiting, Set<K> others) {
+    Map<K, Double> maxShares = new HashMap<>();
+    others.forEach(k -> maxShares.put(k, smoothedShare(k)));
+    waiting.forEach(k -> maxShares.put(k, Double.POSITIVE_INFINITY));
+    double sum = 0;
+    for (K k : maxShares.keySet()) {
+      sum += smoothedShare(k);
+    }
+    Map<K, Double> ratios = new HashMap<>();
+    if (sum <= 0 || Double.isInfinite(sum)) {
+      maxShares.keySet().forEach(k -> ratios.put(k, 0.0));
+      return ratios;
+    }
+    double total = sum;
+    maxShares.replaceAll((k, v) -> v / total);
+    fairShares(maxShares)
+        .forEach((k, v) -> ratios.put(k, v <= 0 ? 0 : smoothedShare(k) / (v * total)));
+    return ratios;
+  }
+
+  private double weight(K key) {
+    return Math.max(MIN_WEIGHT, weights.getOrDefault(key, 0.0));
+  }
+
+  /**
+   * Returns the difference of each holder from its fair share of the used capacity, as a fraction:
+   * positive above it. The fair share of a holder that does not wait is what it uses; the other
+   * holders divide the rest by weight.
    *
-   * @param waiting teams that need more than they use, without limit
+   * @param waiting holders that need more than they use, without limit
    */
-  public Map<TeamId, Double> deviations(Set<TeamId> waiting) {
-    Map<TeamId, Double> demand = new HashMap<>();
+  public Map<K, Double> deviations(Set<K> waiting) {
+    Map<K, Double> demand = new HashMap<>();
     waiting.forEach(t -> demand.put(t, Double.POSITIVE_INFINITY));
     return deviationsFrom(demand);
   }
 
   /**
-   * Returns the difference of each team from its fair share of the used capacity, as a fraction:
-   * positive above it. The fair share of a team is at most what it uses and waits for; the other
-   * teams divide the rest by weight.
+   * Returns the difference of each holder from its fair share of the used capacity, as a fraction:
+   * positive above it. The fair share of a holder is at most what it uses and waits for; the other
+   * holders divide the rest by weight.
    *
-   * @param waiting resources that each team waits for
+   * @param waiting resources that each holder waits for
    */
-  public Map<TeamId, Double> deviations(Map<TeamId, ResourceVector> waiting) {
-    Map<TeamId, Double> demand = new HashMap<>();
+  public Map<K, Double> deviations(Map<K, ResourceVector> waiting) {
+    Map<K, Double> demand = new HashMap<>();
     waiting.forEach((t, v) -> demand.put(t, used(t).plus(v).dominantShareOf(capacity)));
     return deviationsFrom(demand);
   }
 
   /**
-   * Returns the dominant share at which each team exceeds its fair share by {@code tolerance}, a
+   * Returns the dominant share at which each holder exceeds its fair share by {@code tolerance}, a
    * fraction of the used capacity.
    *
-   * @param waiting resources that each team waits for
+   * @param waiting resources that each holder waits for
    */
-  public Map<TeamId, Double> sharesAtDeviation(
-      double tolerance, Map<TeamId, ResourceVector> waiting) {
-    Map<TeamId, Double> shares = deviations(waiting);
+  public Map<K, Double> sharesAtDeviation(double tolerance, Map<K, ResourceVector> waiting) {
+    Map<K, Double> shares = deviations(waiting);
     double sum = 0;
-    for (TeamId t : shares.keySet()) {
+    for (K t : shares.keySet()) {
       sum += dominantShare(t);
     }
     double totalShare = sum;
@@ -106,8 +193,8 @@
     return shares;
   }
 
-  private Map<TeamId, Double> deviationsFrom(Map<TeamId, Double> demand) {
-    Map<TeamId, Double> current = new TreeMap<>();
+  private Map<K, Double> deviationsFrom(Map<K, Double> demand) {
+    Map<K, Double> current = new TreeMap<>();
     used.forEach((t, v) -> current.put(t, v.dominantShareOf(capacity)));
     demand.keySet().forEach(t -> current.putIfAbsent(t, 0.0));
     double sum = current.values().stream().mapToDouble(Double::doubleValue).sum();
@@ -116,46 +203,35 @@
       return current;
     }
     current.replaceAll((t, v) -> v / sum);
-    Map<TeamId, Double> maxShares = new HashMap<>(current);
+    Map<K, Double> maxShares = new HashMap<>(current);
     demand.forEach((t, v) -> maxShares.put(t, v / sum));
-    Map<TeamId, Double> fairShares = fairShares(maxShares);
-    Map<TeamId, Double> result = new TreeMap<>();
+    Map<K, Double> fairShares = fairShares(maxShares);
+    Map<K, Double> result = new TreeMap<>();
     current.forEach((t, v) -> result.put(t, v - fairShares.get(t)));
     return result;
   }
 
   /**
-   * Divides the used capacity by weight among teams; no team gets more than its value in {@code
+   * Divides the used capacity by weight among holders; no holder gets more than its value in {@code
    * maxShares}.
    */
-  private Map<TeamId, Double> fairShares(Map<TeamId, Double> maxShares) {
-    Map<TeamId, Double> fairShares = new HashMap<>();
-    double remaining = 1;
-    boolean changed = true;
-    while (changed) {
-      changed = false;
-      double weightSum = 0;
-      for (TeamId t : maxShares.keySet()) {
-        weightSum += fairShares.containsKey(t) ? 0 : weight(t);
-      }
-      for (Map.Entry<TeamId, Double> e : maxShares.entrySet()) {
-        TeamId t = e.getKey();
-        if (!fairShares.containsKey(t) && e.getValue() <= remaining * weight(t) / weightSum) {
-          fairShares.put(t, e.getValue());
-          remaining -= e.getValue();
-          changed = true;
-          break;
-        }
-      }
-    }
-    double remainingWeight = 0;
-    for (TeamId t : maxShares.keySet()) {
-      remainingWeight += fairShares.containsKey(t) ? 0 : weight(t);
+  private Map<K, Double> fairShares(Map<K, Double> maxShares) {
+    List<K> order = new ArrayList<>(maxShares.keySet());
+    order.sort(
+        Comparator.<K>comparingDouble(k -> maxShares.get(k) / weight(k))
+            .thenComparing(Comparator.naturalOrder()));
+    // Sums from the end, because subtracting from a total would lose the smallest weights.
+    double[] weightSums = new double[order.size() + 1];
+    for (int i = order.size() - 1; i >= 0; i--) {
+      weightSums[i] = weightSums[i + 1] + weight(order.get(i));
     }
-    for (TeamId t : maxShares.keySet()) {
-      if (!fairShares.containsKey(t)) {
-        fairShares.put(t, remaining * weight(t) / remainingWeight);
-      }
+    Map<K, Double> fairShares = new HashMap<>();
+    double remaining = 1;
+    for (int i = 0; i < order.size(); i++) {
+      K k = order.get(i);
+      double share = Math.min(maxShares.get(k), remaining * weight(k) / weightSums[i]);
+      fairShares.put(k, share);
+      remaining -= share;
     }
     return fairShares;
   }
--- a/core/src/main/java/dev/dandelionport/core/share/package-info.java
+++ b/core/src/main/java/dev/dandelionport/core/share/package-info.java
@@ -1,2 +1,2 @@
-/** Weighted dominant-resource shares of teams. */
+/** Weighted dominant-resource shares of teams and client accounts. */
 package dev.dandelionport.core.share;
--- a/core/src/main/java/dev/dandelionport/core/workflow/CellLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/CellLoad.java
@@ -12,6 +12,7 @@
  * @param runners number of runners by state
  * @param coresUsedPercent percentage of the listed runners' processor capacity that runs have
  *     reserved
+ * @param accountsOverShare number of accounts that are over their fair share
  * @param passes counts of the placement passes since the previous load figures
  */
 public record CellLoad(
@@ -20,6 +21,7 @@
     Map<String, Integer> runs,
     RunnerCounts runners,
     int coresUsedPercent,
+    int accountsOverShare,
     PassCounts passes) {
 
   /**
@@ -58,7 +60,7 @@
       }
     }
     int percent = (int) (100 * used / Math.max(1, capacity));
-    return new CellLoad(steps, tasks, runs, count(cell), percent, passes);
+    return new CellLoad(steps, tasks, runs, count(cell), percent, cell.shares.countOver(), passes);
   }
 
   private static RunnerCounts count(CellState cell) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/CellState.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/CellState.java
@@ -4,7 +4,6 @@
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,12 +25,10 @@
   final TreeSet<Step> ready =
       new TreeSet<>(
           Comparator.comparingInt((Step s) -> s.priority)
-              .thenComparing(s -> s.workflow.spec.excess())
               .thenComparingLong(s -> s.dueMillis)
               .thenComparing(s -> s.key.toString()));
 
-  /** Resources of each account's runs, including runs that are being stopped. */
-  private final Map<String, ResourceVector> running = new HashMap<>();
+  final AccountShares shares = new AccountShares(this);
 
   ClusterPolicy policy = ClusterPolicy.NONE;
   Set<String> closedDomains = Set.of();
@@ -113,26 +110,20 @@
         && !closedDomains.contains(r.description.failureDomain());
   }
 
-  ResourceVector running(String account) {
-    return running.getOrDefault(account, ResourceVector.ZERO);
-  }
-
   /** Adds a run to the resources in use on its runner and by its account. */
   void occupy(Run r) {
     Queue q = queueOf(r.task.step);
     r.urgent = q != null && q.priority() == 0;
     r.runner.add(r);
     occupancyVersion++;
-    running.merge(
-        r.task.step.workflow.spec.account(), r.task.step.spec.size(), ResourceVector::plus);
+    shares.add(r);
   }
 
   /** Releases the resources of a run. */
   void release(Run r) {
     r.runner.remove(r);
     occupancyVersion++;
-    running.merge(
-        r.task.step.workflow.spec.account(), r.task.step.spec.size(), ResourceVector::minus);
+    shares.remove(r);
   }
 
   /** Returns how many more tasks of a step its account's ceiling permits. */
@@ -142,7 +133,7 @@
       return Integer.MAX_VALUE;
     }
     ResourceVector c = a.ceiling();
-    ResourceVector used = running(a.name());
+    ResourceVector used = shares.used(a.name());
     return s.spec
         .size()
         .countFittingIn(
--- a/core/src/main/java/dev/dandelionport/core/workflow/ClusterPolicy.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/ClusterPolicy.java
@@ -75,8 +75,9 @@
    *
    * @param name name of the account
    * @param keys API keys
-   * @param weight workflows per second that it may submit; what exceeds this rate ranks behind
-   *     other work
+   * @param weight its share of a full cell relative to other accounts, and workflows per second
+   *     that it may submit; what exceeds this rate ranks behind other work until the account is
+   *     below its fair share
    * @param ceiling maximum resources of its runs; 0 in a component means no limit
    */
   public record Account(String name, List<String> keys, double weight, ResourceVector ceiling) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/Headroom.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Headroom.java
@@ -108,6 +108,10 @@
       if (s.priority > 0) {
         break;
       }
+      if (cell.shares.isOver(s)) {
+        // Other accounts keep no capacity free for it.
+        continue;
+      }
       int waiting = 0;
       for (Task t : s.tasks) {
         waiting += t.isWaiting() ? 1 : 0;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -20,8 +20,8 @@
   private static final int MAX_STEPS_IN_ORDER = 150;
 
   /**
-   * Ranks of steps: in time, late, beyond the account's weight, too late for the result to be of
-   * use.
+   * Ranks of steps: in time, late, beyond the rate and the fair share of the account, too late for
+   * the result to be of use.
    */
   private static final int IN_TIME = 0;
 
@@ -84,6 +84,7 @@
    */
   void runPass(int maxStarts) {
     advice.clearRequested();
+    cell.shares.refresh();
     headroom.update();
     freeCapacity.update();
     passNumber++;
@@ -162,35 +163,53 @@
 
   /**
    * Returns the ready steps in the order in which they are placed. Steps that can still be in time
-   * precede late ones, and both precede what an account submitted beyond its weight. Steps whose
-   * result is of no use any more come last.
+   * precede late ones, and both precede what an account submitted beyond its rate. Steps whose
+   * result is of no use any more come last. Within a rank and priority, steps of accounts that are
+   * over their fair share come last.
    */
   private List<Step> stepsByRank() {
     List<List<Step>> ranks = new ArrayList<>();
+    List<List<Step>> overFairShare = new ArrayList<>();
     for (int i = 0; i <= WORTHLESS; i++) {
       ranks.add(new ArrayList<>());
+      overFairShare.add(new ArrayList<>());
     }
-    // Within a rank, the order of the set applies: priority, then due time.
+    int priority = Integer.MIN_VALUE;
+    // Otherwise, the order of the set applies: priority, then due time.
     for (Step s : cell.ready) {
-      ranks.get(rank(s)).add(s);
+      if (s.priority != priority) {
+        priority = s.priority;
+        moveAll(overFairShare, ranks);
+      }
+      (cell.shares.isOver(s) ? overFairShare : ranks).get(rank(s)).add(s);
     }
+    moveAll(overFairShare, ranks);
     List<Step> steps = new ArrayList<>(cell.ready.size());
     ranks.forEach(steps::addAll);
     return steps;
   }
 
+  private static void moveAll(List<List<Step>> from, List<List<Step>> to) {
+    for (int i = 0; i < from.size(); i++) {
+      to.get(i).addAll(from.get(i));
+      from.get(i).clear();
+    }
+  }
+
   private int rank(Step s) {
-    if (s.workflow.spec.excess()) {
+    boolean behind = cell.shares.isBehind(s);
+    if (behind && !cell.shares.isComparing()) {
       return EXCESS;
     }
     double minRemainingMillis = MIN_REMAINING_FRACTION * cell.runTimes.expectedMillis(s);
     if (cell.now + minRemainingMillis <= s.dueMillis) {
-      return IN_TIME;
+      return behind ? EXCESS : IN_TIME;
     }
     long allowedMillis = s.dueMillis - s.workflow.acceptedMillis;
-    return cell.now - s.workflow.acceptedMillis > WORTHLESS_FACTOR * allowedMillis
-        ? WORTHLESS
-        : LATE;
+    if (cell.now - s.workflow.acceptedMillis > WORTHLESS_FACTOR * allowedMillis) {
+      return WORTHLESS;
+    }
+    return behind ? EXCESS : LATE;
   }
 
   /** Returns the runners that may run a step now, regardless of their free capacity. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/Preemption.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Preemption.java
@@ -33,12 +33,13 @@
 
   /**
    * Stops runs on the candidate runners of a step, which hold a ticket if its queue needs advice,
-   * to free capacity for its waiting tasks.
+   * to free capacity for its waiting tasks. An account that is over its fair share gets no capacity
+   * in this way.
    */
   void preemptFor(Step s, Queue q, List<Runner> candidates) {
     long expected = cell.runTimes.expectedMillis(s);
     long startMillis = cell.now + cell.limits.maxStopMillis() + MIN_SLACK_MILLIS;
-    if (s.workflow.spec.excess() || startMillis + expected > s.dueMillis) {
+    if (cell.shares.isBehind(s) || cell.shares.isOver(s) || startMillis + expected > s.dueMillis) {
       return;
     }
     int missing = s.startable(cell.now).size();
--- a/core/src/main/java/dev/dandelionport/core/workflow/Step.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Step.java
@@ -137,6 +137,16 @@
     return n;
   }
 
+  /** Returns whether any task waits, including one with a retry delay. */
+  boolean hasWaiting() {
+    for (Task t : tasks) {
+      if (t.isWaiting()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns whether a run was ever intended for one of its tasks. */
   boolean wasPlaced() {
     for (Task t : tasks) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/WaitLogger.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WaitLogger.java
@@ -91,6 +91,7 @@
     add(fields, "waiting", s.countWaiting());
     add(fields, "rank", placement.rankName(s));
     add(fields, "priority", s.priority);
+    add(fields, "overShare", cell.shares.isOver(s));
     add(fields, "reached", placement.wasReached(s));
     add(fields, "lookedAgoMillis", s.lastExaminedMillis < 0 ? -1 : cell.now - s.lastExaminedMillis);
     add(fields, "ceilingAllows", Math.min(cell.tasksBelowCeiling(s), s.spec.tasks()));
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -168,6 +168,14 @@
     }
   }
 
+  /**
+   * Returns whether an account uses more than its fair share of what all waiting accounts use, by
+   * the latest placement pass.
+   */
+  public boolean isOverFairShare(String account) {
+    return cell.shares.isOver(account);
+  }
+
   /** Returns the number of unfinished workflows of a queue of which no task has started. */
   public int countUnstarted(String queue) {
     int n = 0;
@@ -192,6 +200,7 @@
       return true;
     }
     cell.policy = policy;
+    cell.shares.applyPolicy();
     List<Step> steps = new ArrayList<>(cell.ready);
     cell.ready.clear();
     steps.forEach(cell::enqueue);
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowSpec.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowSpec.java
@@ -11,7 +11,8 @@
  * @param payload input of all its tasks
  * @param steps steps, numbered from 0
  * @param recurrence when the steps run
- * @param excess whether the account exceeded the submission rate of its weight with this workflow
+ * @param excess whether the account exceeded the submission rate of its weight with this workflow;
+ *     how it then ranks also depends on what the account uses
  */
 public record WorkflowSpec(
     String id,
--- a/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
@@ -1,6 +1,7 @@
 package dev.dandelionport.core.workflow;
 
 import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.workflow.ClusterPolicy.Account;
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -11,6 +12,7 @@
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /**
  * Simulates a cell of healthy runners in virtual time: workflows arrive by queue, and instances
@@ -110,9 +112,20 @@
   private long sequence;
   private long now;
 
-  /** Creates a cell; each instance handles one advice call at a time. */
+  /** Creates a cell without accounts; each instance handles one advice call at a time. */
   CellSimulation(
       List<QueueLoad> loads, int runners, ResourceVector capacity, int instances, long seed) {
+    this(loads, List.of(), runners, capacity, instances, seed);
+  }
+
+  /** Creates a cell whose workflows are submitted by accounts. */
+  CellSimulation(
+      List<QueueLoad> loads,
+      List<Account> accounts,
+      int runners,
+      ResourceVector capacity,
+      int instances,
+      long seed) {
     this.loads = loads;
     this.seed = seed;
     random = new Random(seed);
@@ -127,7 +140,9 @@
             (long) (USABLE_FRACTION * capacity.memoryMb()),
             0);
     setSchedulerTime(0);
-    scheduler.setPolicy(new ClusterPolicy(1, queues, Map.of(), Map.of()));
+    Map<String, Account> accountsByName = new HashMap<>();
+    accounts.forEach(a -> accountsByName.put(a.name(), a));
+    scheduler.setPolicy(new ClusterPolicy(1, queues, Map.of(), accountsByName));
     List<RunnerDescription> list = new ArrayList<>();
     for (int i = 0; i < runners; i++) {
       String id = String.format("r%03d", i);
@@ -146,6 +161,11 @@
 
   /** Adds the arrivals of a period at {@code factor} times the queues' rates. */
   void arrivals(long from, long until, double factor) {
+    arrivals("", from, until, factor);
+  }
+
+  /** Adds the arrivals of an account in a period at {@code factor} times the queues' rates. */
+  void arrivals(String account, long from, long until, double factor) {
     for (QueueLoad l : loads) {
       double gap = 1_000 / (l.perSecond() * factor);
       double t = from - gap * Math.log(1 - random.nextDouble());
@@ -153,7 +173,7 @@
         String id = String.format("%016x", sequence);
         QueueLoad.Sample d = sampleFitting(id, l);
         WorkflowSpec spec =
-            new WorkflowSpec(id, l.name(), "", "", d.steps(), Recurrence.ONCE, false);
+            new WorkflowSpec(id, l.name(), account, "", d.steps(), Recurrence.ONCE, false);
         submissions.put(id, new Submission(spec, d, l, (long) t));
         schedule((long) t, () -> scheduler.submit(spec));
       }
@@ -354,11 +374,18 @@
 
   /** Returns the outcome of a queue's workflows that were submitted in a period. */
   Outcome outcome(String queue, long from, long until) {
+    return outcome(a -> a.load().name().equals(queue), from, until);
+  }
+
+  /** Returns the outcome of an account's workflows that were submitted in a period. */
+  Outcome outcomeOfAccount(String account, long from, long until) {
+    return outcome(a -> a.spec().account().equals(account), from, until);
+  }
+
+  private Outcome outcome(Predicate<Submission> filter, long from, long until) {
     Outcome sum = Outcome.NONE;
     for (Submission a : submissions.values()) {
-      if (!a.load().name().equals(queue)
-          || a.submittedMillis() < from
-          || a.submittedMillis() >= until) {
+      if (!filter.test(a) || a.submittedMillis() < from || a.submittedMillis() >= until) {
         continue;
       }
       double value = a.load().valueOf(a.sample());
