--- a/core/src/main/java/dev/dandelionport/core/workflow/AdmissionLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdmissionLoad.java
@@ -62,7 +62,7 @@
    */
   CapacityUse quotaUse(String account, ResourceVector size) {
     ResourceVector quota = quota(account);
-    ResourceVector used = cell.running(account);
+    ResourceVector used = cell.shares.used(account);
     return CapacityUse.of(
         quota,
         CellState.countBelowCeiling(size, quota, used),
--- a/core/src/main/java/dev/dandelionport/core/workflow/CellLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/CellLoad.java
@@ -12,6 +12,7 @@
  * @param runners number of runners by state
  * @param coresUsedPercent percentage of the listed runners' processor capacity that runs have
  *     reserved
+ * @param accountsOverShare number of accounts that are over their fair share
  * @param passes counts of the placement passes since the previous load figures
  * @param refused submissions refused by admission since the previous load figures
  * @param returning refused submissions that are expected to return
@@ -22,6 +23,7 @@
     Map<String, Integer> runs,
     RunnerCounts runners,
     int coresUsedPercent,
+    int accountsOverShare,
     PassCounts passes,
     int refused,
     int returning) {
@@ -62,7 +64,16 @@
       }
     }
     int percent = (int) (100 * used / Math.max(1, capacity));
-    return new CellLoad(steps, tasks, runs, count(cell), percent, passes, refused, returning);
+    return new CellLoad(
+        steps,
+        tasks,
+        runs,
+        count(cell),
+        percent,
+        cell.shares.countOver(),
+        passes,
+        refused,
+        returning);
   }
 
   private static RunnerCounts count(CellState cell) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/SubmissionRates.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/SubmissionRates.java
@@ -27,7 +27,9 @@
   @Override
   public boolean isExceededBy(String account) {
     Account a = cell.policy.accounts().get(account);
-    return a != null && !bucket(account).hasToken(a.weight(), cell.now);
+    return a != null
+        && !bucket(account).hasToken(a.weight(), cell.now)
+        && cell.shares.ranksExcessBehind(account);
   }
 
   private TokenBucket bucket(String account) {
