Keep an unlisted runner for 60 s from when it left the list

Cause: a runner was stamped when the list was set, so one that left the directory after a minute without changes was forgotten at once, and a step that only it could run became impossible.

Change: the time begins when the runner is no longer listed.

Result: FeasibilityTest, SubmissionAdmissionTest and AdmissionPlayTest pass; the test uses a list that does not change for longer than the time.

--- a/core/src/main/java/dev/dandelionport/core/admission/ListedRunners.java
+++ b/core/src/main/java/dev/dandelionport/core/admission/ListedRunners.java
@@ -3,8 +3,10 @@
 import dev.dandelionport.core.admission.Feasibility.RunnerKind;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Runners that the directory lists or listed a short time ago, for the question whether a step
@@ -13,22 +15,33 @@
  */
 public final class ListedRunners {
 
-  /** Time for which a runner counts after it was last listed, in milliseconds. */
+  /** Time for which a runner counts after it is no longer listed, in milliseconds. */
   private static final long KEEP_MILLIS = 60_000;
 
-  private record Listed(String service, RunnerKind kind, long lastMillis) {}
+  /** A runner that the directory lists. */
+  public record Listed(String id, String service, RunnerKind kind) {}
 
   private final Map<String, Listed> runners = new HashMap<>();
-  private final Map<String, List<RunnerKind>> kindsByService = new HashMap<>();
 
-  /** Records that the directory lists a runner now. */
-  public void add(String id, String service, RunnerKind kind, long now) {
-    runners.put(id, new Listed(service, kind, now));
-  }
+  /** Time until which runners that are no longer listed count, by id. */
+  private final Map<String, Long> keepUntilMillis = new HashMap<>();
+
+  private final Map<String, List<RunnerKind>> kindsByService = new HashMap<>();
 
-  /** Removes runners that have not been listed for a while, after all listed ones were added. */
-  public void update(long now) {
-    runners.values().removeIf(l -> l.lastMillis + KEEP_MILLIS < now);
+  /** Replaces the list of the directory. */
+  public void update(List<Listed> list, long now) {
+    Set<String> unlisted = new HashSet<>(runners.keySet());
+    for (Listed l : list) {
+      runners.put(l.id, l);
+      unlisted.remove(l.id);
+    }
+    keepUntilMillis.keySet().retainAll(unlisted);
+    for (String id : unlisted) {
+      if (keepUntilMillis.computeIfAbsent(id, k -> now + KEEP_MILLIS) < now) {
+        runners.remove(id);
+        keepUntilMillis.remove(id);
+      }
+    }
     kindsByService.clear();
     for (Listed l : runners.values()) {
       kindsByService.computeIfAbsent(l.service, k -> new ArrayList<>()).add(l.kind);
--- a/core/src/main/java/dev/dandelionport/core/workflow/SubmissionAdmission.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/SubmissionAdmission.java
@@ -5,6 +5,7 @@
 import dev.dandelionport.core.admission.Demand;
 import dev.dandelionport.core.admission.FairShare;
 import dev.dandelionport.core.admission.Feasibility;
+import dev.dandelionport.core.admission.Feasibility.RunnerKind;
 import dev.dandelionport.core.admission.Forecast;
 import dev.dandelionport.core.admission.ListedRunners;
 import dev.dandelionport.core.admission.Refusal;
@@ -16,6 +17,7 @@
 import dev.dandelionport.core.workflow.AdmissionLoad.Pool;
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -43,11 +45,12 @@
 
   /** Records the runners that the directory lists. */
   void setRunners(List<RunnerDescription> list) {
+    List<ListedRunners.Listed> listed = new ArrayList<>();
     for (RunnerDescription d : list) {
-      listedRunners.add(
-          d.id(), d.service(), new Feasibility.RunnerKind(d.capacity(), d.labels()), cell.now);
+      RunnerKind kind = new RunnerKind(d.capacity(), d.labels());
+      listed.add(new ListedRunners.Listed(d.id(), d.service(), kind));
     }
-    listedRunners.update(cell.now);
+    listedRunners.update(listed, cell.now);
   }
 
   /** Returns the refusal of a workflow whose id is not known, or empty if it may be accepted. */
--- a/core/src/test/java/dev/dandelionport/core/admission/FeasibilityTest.java
+++ b/core/src/test/java/dev/dandelionport/core/admission/FeasibilityTest.java
@@ -78,11 +78,11 @@
   void withdrawnRunnerCountsForOneMinute() {
     // Guards against refusing work because entries of runners expired during a store outage.
     ListedRunners runners = new ListedRunners();
-    runners.add("r1", "svc", POOL.get(0), 1_000);
-    runners.update(1_000);
-    runners.update(61_000);
+    runners.update(List.of(new ListedRunners.Listed("r1", "svc", POOL.get(0))), 1_000);
+    runners.update(List.of(), 100_000);
+    runners.update(List.of(), 160_000);
     assertThat(runners.of("svc")).hasSize(1);
-    runners.update(61_001);
+    runners.update(List.of(), 160_001);
     assertThat(runners.of("svc")).isEmpty();
   }
 }
