--- a/core/src/main/java/dev/dandelionport/core/workflow/AccountShares.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AccountShares.java
@@ -29,6 +29,9 @@
   /** Accounts with waiting tasks of workflows that were submitted within the account's rate. */
   private final Set<String> waitingWithinRate = new HashSet<>();
 
+  /** Accounts whose workflows above their rate rank as normal work. */
+  private final Set<String> ranksAsNormal = new HashSet<>();
+
   private long nextRefreshMillis;
 
   AccountShares(CellState cell) {
@@ -70,25 +73,29 @@
     }
     ledger.setCapacity(capacity);
     ledger.advance(cell.now);
-    decision.update(ledger, waiting());
+    Set<String> waiting = waiting();
+    decision.update(ledger, waiting);
+    ranksAsNormal.clear();
+    if (decision.isComparing()) {
+      ranksAsNormal.addAll(waiting);
+      ranksAsNormal.removeIf(a -> waitingWithinRate.contains(a) || decision.isOver(a));
+    }
   }
 
   /** Returns the configured accounts with waiting tasks that their ceiling permits to start. */
   private Set<String> waiting() {
-    waitingWithinRate.clear();
     Set<String> waiting = new HashSet<>();
+    waitingWithinRate.clear();
     for (Step s : cell.ready) {
       String account = accountOf(s);
-      // One step of an account is enough, and one within the rate if any is.
-      boolean isKnown =
-          waitingWithinRate.contains(account)
-              || s.workflow.spec.excess() && waiting.contains(account);
+      boolean isWithinRate = !s.workflow.spec.excess();
+      boolean isKnown = (isWithinRate ? waitingWithinRate : waiting).contains(account);
       if (!isKnown
           && cell.policy.accounts().containsKey(account)
           && s.hasWaiting()
           && cell.tasksBelowCeiling(s) > 0) {
         waiting.add(account);
-        if (!s.workflow.spec.excess()) {
+        if (isWithinRate) {
           waitingWithinRate.add(account);
         }
       }
@@ -112,8 +119,7 @@
    * fair share and has no other work waiting.
    */
   boolean isBehind(Step s) {
-    return s.workflow.spec.excess()
-        && (!decision.isComparing() || isOver(s) || waitingWithinRate.contains(accountOf(s)));
+    return s.workflow.spec.excess() && !ranksAsNormal.contains(accountOf(s));
   }
 
   /** Returns whether at least two accounts wait, so that their shares count. */
--- a/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
@@ -112,13 +112,7 @@
   private long sequence;
   private long now;
 
-  /** Creates a cell without accounts; each instance handles one advice call at a time. */
-  CellSimulation(
-      List<QueueLoad> loads, int runners, ResourceVector capacity, int instances, long seed) {
-    this(loads, List.of(), runners, capacity, instances, seed);
-  }
-
-  /** Creates a cell whose workflows are submitted by accounts. */
+  /** Creates a cell; each instance handles one advice call at a time. */
   CellSimulation(
       List<QueueLoad> loads,
       List<Account> accounts,
@@ -374,15 +368,15 @@
 
   /** Returns the outcome of a queue's workflows that were submitted in a period. */
   Outcome outcome(String queue, long from, long until) {
-    return outcome(a -> a.load().name().equals(queue), from, until);
+    return sum(a -> a.load().name().equals(queue), from, until);
   }
 
   /** Returns the outcome of an account's workflows that were submitted in a period. */
   Outcome outcomeOfAccount(String account, long from, long until) {
-    return outcome(a -> a.spec().account().equals(account), from, until);
+    return sum(a -> a.spec().account().equals(account), from, until);
   }
 
-  private Outcome outcome(Predicate<Submission> filter, long from, long until) {
+  private Outcome sum(Predicate<Submission> filter, long from, long until) {
     Outcome sum = Outcome.NONE;
     for (Submission a : submissions.values()) {
       if (!filter.test(a) || a.submittedMillis() < from || a.submittedMillis() >= until) {
--- a/core/src/test/java/dev/dandelionport/core/workflow/ClassShareTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/ClassShareTest.java
@@ -129,7 +129,7 @@
     final double baseFactor = load / (MEAN_LOAD * (1 + (BURST_FACTOR - 1) * 9 / 36));
     Map<String, Outcome> sums = new TreeMap<>();
     for (int seed = 1; seed <= SEEDS; seed++) {
-      CellSimulation c = new CellSimulation(LOADS, RUNNERS, CAPACITY, INSTANCES, seed);
+      CellSimulation c = new CellSimulation(LOADS, List.of(), RUNNERS, CAPACITY, INSTANCES, seed);
       c.arrivals(0, 8_000, baseFactor);
       c.arrivals(8_000, 13_000, BURST_FACTOR * baseFactor);
       c.arrivals(13_000, 24_000, baseFactor);
--- a/core/src/test/java/dev/dandelionport/core/workflow/FairShareOrderTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/FairShareOrderTest.java
@@ -19,7 +19,7 @@
 
   private static final int CORES = 32;
 
-  private final WorkflowFixture f = new WorkflowFixture();
+  private final WorkflowFixture cell = new WorkflowFixture();
 
   @BeforeEach
   void setAccounts() {
@@ -28,7 +28,7 @@
         List.of("a", "b").stream()
             .collect(
                 Collectors.toMap(x -> x, x -> new Account(x, List.of(), 2, ResourceVector.ZERO)));
-    f.scheduler.setPolicy(new ClusterPolicy(2, p.queues(), p.services(), accounts));
+    cell.scheduler.setPolicy(new ClusterPolicy(2, p.queues(), p.services(), accounts));
   }
 
   /** Submits a workflow of one step whose tasks take one core each. */
@@ -37,8 +37,8 @@
   }
 
   private void submit(String account, String id, String queue, StepSpec step) {
-    f.updateTime();
-    f.scheduler.submit(
+    cell.updateTime();
+    cell.scheduler.submit(
         new WorkflowSpec(id, queue, account, "", List.of(step), Recurrence.ONCE, false));
   }
 
@@ -52,27 +52,27 @@
 
   /** Starts what fits and lets it run until most of it counts as recent use. */
   private List<WorkflowEffect.Start> startAndRun() {
-    f.place();
-    List<WorkflowEffect.Start> runs = f.answerStarts(StartResult.PRESENT);
-    f.now += 20_000;
+    cell.place();
+    List<WorkflowEffect.Start> runs = cell.answerStarts(StartResult.PRESENT);
+    cell.now += 20_000;
     return runs;
   }
 
   /** Ends a run and returns the workflows of which a later pass starts a task. */
   private List<String> startedAfterEnd(WorkflowEffect.Start run) {
-    f.end(run, RunEnd.DONE, "");
-    f.now += REFRESH_MILLIS;
-    f.place();
-    return f.answerStarts(StartResult.PRESENT).stream().map(s -> s.task().workflow()).toList();
+    cell.end(run, RunEnd.DONE, "");
+    cell.now += REFRESH_MILLIS;
+    cell.place();
+    return cell.answerStarts(StartResult.PRESENT).stream().map(s -> s.task().workflow()).toList();
   }
 
   // Guards against an account that gets capacity back only after the earlier work of the account
   // that uses all of it.
   @Test
   void freedCapacityGoesToAccountBelowItsShare() {
-    List<WorkflowEffect.Start> runs = fill("a");
+    final List<WorkflowEffect.Start> runs = fill("a");
     submit("a", "a-waiting", "urgent", 4);
-    f.now += 10;
+    cell.now += 10;
     submit("b", "b-waiting", "urgent", 1);
     assertThat(startedAfterEnd(runs.get(0))).containsExactly("b-waiting");
     assertThat(startedAfterEnd(runs.get(1))).containsExactly("a-waiting");
@@ -82,9 +82,9 @@
   // although its account uses nothing.
   @Test
   void workAboveTheRateRanksAsNormalBelowFairShare() {
-    List<WorkflowEffect.Start> runs = fill("a");
+    final List<WorkflowEffect.Start> runs = fill("a");
     submit("a", "a-waiting", "urgent", 4);
-    f.now += 10;
+    cell.now += 10;
     for (int i = 0; i < 3; i++) {
       submit("b", "b" + i, "urgent", 1);
     }
@@ -96,14 +96,14 @@
   // Guards against work above the rate that starts before work of the same account within it.
   @Test
   void workAboveTheRateStaysBehindOtherWorkOfItsAccount() {
-    List<WorkflowEffect.Start> runs = fill("a");
+    final List<WorkflowEffect.Start> runs = fill("a");
     submit("a", "a-waiting", "urgent", 4);
     for (int i = 0; i < 3; i++) {
       submit("b", "b" + i, "urgent", 1);
     }
     startedAfterEnd(runs.get(0));
     startedAfterEnd(runs.get(1));
-    f.now += 500;
+    cell.now += 500;
     submit("b", "b-later", "urgent", 1);
     assertThat(startedAfterEnd(runs.get(2))).containsExactly("b-later");
   }
@@ -111,16 +111,16 @@
   // Guards against a changed order where only one account waits.
   @Test
   void workAboveTheRateStaysBehindWhereOneAccountWaits() {
-    List<WorkflowEffect.Start> runs = fill("a");
+    final List<WorkflowEffect.Start> runs = fill("a");
     for (int i = 0; i < 3; i++) {
       submit("a", "a" + i, "urgent", 1);
     }
     assertThat(startedAfterEnd(runs.get(0))).containsExactly("a0");
     assertThat(startedAfterEnd(runs.get(1))).containsExactly("a1");
-    f.now += 500;
+    cell.now += 500;
     submit("a", "a-later", "urgent", 1);
     assertThat(startedAfterEnd(runs.get(2))).containsExactly("a-later");
-    assertThat(f.scheduler.isOverFairShare("a")).isFalse();
+    assertThat(cell.scheduler.isOverFairShare("a")).isFalse();
   }
 
   /**
@@ -130,15 +130,15 @@
   private int countStopsForLargestAccount(int batchTasks) {
     StepSpec batch = WorkflowFixture.step(batchTasks, 1_000);
     submit("b", "b-batch", "batch", StepSpecs.limitedPerRunner(batch, 3));
-    f.place();
-    assertThat(f.answerStarts(StartResult.PRESENT)).hasSize(6);
+    cell.place();
+    assertThat(cell.answerStarts(StartResult.PRESENT)).hasSize(6);
     submit("a", "a-urgent", "urgent", CORES - 6);
     assertThat(startAndRun()).hasSize(CORES - 6);
-    assertThat(f.stops()).isEmpty();
+    assertThat(cell.stops()).isEmpty();
     ResourceVector core = new ResourceVector(0, 0, 1_000, 100, 0);
     submit("a", "a-more", "urgent", StepSpecs.of(1, core, 60_000));
-    f.place();
-    return f.stops().size();
+    cell.place();
+    return cell.stops().size();
   }
 
   // Guards against runs of others that are stopped for an account that already uses most of the
@@ -146,13 +146,13 @@
   @Test
   void accountOverItsFairSharePreemptsNothing() {
     assertThat(countStopsForLargestAccount(CORES)).isZero();
-    assertThat(f.scheduler.isOverFairShare("a")).isTrue();
+    assertThat(cell.scheduler.isOverFairShare("a")).isTrue();
   }
 
   // Guards against urgent work that waits behind batch work of accounts that need nothing more.
   @Test
   void accountPreemptsWhereNoOtherWaits() {
     assertThat(countStopsForLargestAccount(6)).isPositive();
-    assertThat(f.scheduler.isOverFairShare("a")).isFalse();
+    assertThat(cell.scheduler.isOverFairShare("a")).isFalse();
   }
 }
--- a/core/src/test/java/dev/dandelionport/core/workflow/HotAccountTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/HotAccountTest.java
@@ -131,6 +131,21 @@
         .isGreaterThan(0.8 * mean);
   }
 
+  // Guards against a changed order or fewer preemptions where there is nobody to share with.
+  @Test
+  void loneAccountIsServedAsWorkWithoutAccount() {
+    List<QueueLoad> loads = ClassShareTest.LOADS;
+    List<Account> accounts = List.of(new Account(HOT, List.of(), 1_000, ResourceVector.ZERO));
+    List<List<Outcome>> outcomes = new ArrayList<>();
+    for (String account : List.of("", HOT)) {
+      CellSimulation c = new CellSimulation(loads, accounts, 33, CAPACITY, 9, 1);
+      c.arrivals(account, 0, 16_000, 1.4);
+      c.run(30_000, 0, 0);
+      outcomes.add(loads.stream().map(l -> c.outcome(l.name(), 0, 30_000)).toList());
+    }
+    assertThat(outcomes.get(1)).isEqualTo(outcomes.get(0));
+  }
+
   private static String account(int i) {
     return String.format("account-%02d", i);
   }
