Router: no uncertain answer before the deadline, none without an attempt

Cause: a refusal after a lost answer ended the request as uncertain at once, although a later attempt could find it accepted. A request to the owner in the same process had no deadline. An attempt shortly before the deadline could only time out, which made a request uncertain that no owner had received.

WorkflowCall tells the receiver how long its sender waits; older versions ignore the field.

--- a/core/src/main/java/dev/dandelionport/core/message/PeerMessage.java
+++ b/core/src/main/java/dev/dandelionport/core/message/PeerMessage.java
@@ -145,9 +145,22 @@
    * @param path path in the caller's request
    * @param key API key, empty for none
    * @param body encoded workflow of a submission, otherwise empty
+   * @param waitMillis time for which the sender waits for the answer, in milliseconds; 0 if unknown
    */
-  record WorkflowCall(WorkflowCallKind kind, String host, String path, String key, byte[] body)
-      implements PeerMessage {}
+  record WorkflowCall(
+      WorkflowCallKind kind, String host, String path, String key, byte[] body, long waitMillis)
+      implements PeerMessage {
+
+    /** Creates a call whose sender does not tell how long it waits. */
+    public WorkflowCall(WorkflowCallKind kind, String host, String path, String key, byte[] body) {
+      this(kind, host, path, key, body, 0);
+    }
+
+    /** Returns the same call of a sender that waits for the given time. */
+    public WorkflowCall withWait(long millis) {
+      return new WorkflowCall(kind, host, path, key, body, millis);
+    }
+  }
 
   /**
    * Answers a {@link WorkflowCall}.
--- a/core/src/test/java/dev/dandelionport/core/dispatch/OwnerRouterTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/OwnerRouterTest.java
@@ -24,9 +24,15 @@
   private final FakeProcess process = new FakeProcess(time);
   private Supplier<CompletableFuture<PeerMessage>> peerAnswer =
       () -> CompletableFuture.failedFuture(new PeerException("connection refused", false, null));
+  private Optional<CompletableFuture<WorkflowAnswer>> localAnswer = Optional.empty();
   private int requests;
 
   private WorkflowAnswer call(WorkflowCallKind kind) {
+    return call(kind, 3_000);
+  }
+
+  /** Calls with a deadline and returns the answer, which must be given by then. */
+  private WorkflowAnswer call(WorkflowCallKind kind, long waitMillis) {
     InstanceInfo owner = new InstanceInfo(new InstanceId("o"), "r", "fd", "127.0.0.1", 1);
     DispatchContext context =
         new DispatchContext(
@@ -45,11 +51,11 @@
             (topic, fields) -> {});
     OwnerRouter router =
         new OwnerRouter(
-            context, c -> Optional.empty(), () -> Optional.of(new OwnerRecord.Owner(owner, 1, 1)));
+            context, c -> localAnswer, () -> Optional.of(new OwnerRecord.Owner(owner, 1, 1)));
     long now = TimeUnit.NANOSECONDS.toMillis(process.monotonicNanos());
     CompletableFuture<WorkflowAnswer> f =
-        router.call(new WorkflowCall(kind, "h", "/q/1", "", new byte[0]), now + 3_000);
-    assertThat(time.runUntil(f::isDone, 3_000)).isTrue();
+        router.call(new WorkflowCall(kind, "h", "/q/1", "", new byte[0]), now + waitMillis);
+    assertThat(time.runUntil(f::isDone, waitMillis)).isTrue();
     return f.join();
   }
 
@@ -68,6 +74,55 @@
     assertThat(call(WorkflowCallKind.SUBMIT).status()).isEqualTo(WorkflowStatus.UNCERTAIN);
   }
 
+  /** Returns the answers of owners of which the first is lost. */
+  private Supplier<CompletableFuture<PeerMessage>> lostThen(
+      Supplier<CompletableFuture<PeerMessage>> next) {
+    return () ->
+        requests == 1
+            ? CompletableFuture.failedFuture(new PeerException("answer lost", true, null))
+            : next.get();
+  }
+
+  // A request whose first answer was lost was answered as uncertain at the next refusal, although
+  // the owner that had accepted it could still report that before the deadline.
+  @Test
+  void refusalAfterLostAnswerIsNotFinalBeforeTheDeadline() {
+    long acceptedMillis = time.nowMillis() + 2_000;
+    peerAnswer =
+        lostThen(
+            () ->
+                of(time.nowMillis() < acceptedMillis ? WorkflowStatus.REFUSED : WorkflowStatus.OK));
+    assertThat(call(WorkflowCallKind.SUBMIT).status()).isEqualTo(WorkflowStatus.OK);
+  }
+
+  // Guards against an uncertain answer before the deadline, and against one that comes too late.
+  @Test
+  void requestThatMayHaveBeenReceivedIsUncertainOnlyAtTheDeadline() {
+    peerAnswer = lostThen(() -> of(WorkflowStatus.REFUSED));
+    long start = time.nowMillis();
+    assertThat(call(WorkflowCallKind.SUBMIT).status()).isEqualTo(WorkflowStatus.UNCERTAIN);
+    assertThat(time.nowMillis() - start).isBetween(2_800L, 2_950L);
+  }
+
+  // A request to the owner in the same process waited for the store beyond the caller's deadline.
+  @Test
+  void requestToOwnerInThisProcessIsAnsweredByTheDeadline() {
+    localAnswer = Optional.of(new CompletableFuture<>());
+    assertThat(call(WorkflowCallKind.SUBMIT).status()).isEqualTo(WorkflowStatus.UNCERTAIN);
+  }
+
+  // A request that no owner could receive waited although its next attempt came after its deadline,
+  // or was sent so late that the answer could only be lost, which made it uncertain.
+  @Test
+  void requestThatCannotBeAnsweredInTimeIsRefusedAtOnce() {
+    long start = time.nowMillis();
+    assertThat(call(WorkflowCallKind.SUBMIT, 230).status()).isEqualTo(WorkflowStatus.REFUSED);
+    assertThat(time.nowMillis() - start).isLessThan(10);
+    requests = 0;
+    assertThat(call(WorkflowCallKind.SUBMIT, 160).status()).isEqualTo(WorkflowStatus.REFUSED);
+    assertThat(requests).isZero();
+  }
+
   // Guards against an uncertain answer, which a client cannot act on, for a request that was
   // certainly not executed.
   @Test
