--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
@@ -11,10 +11,7 @@
 import dev.dandelionport.core.workflow.WorkflowScheduler;
 import dev.dandelionport.core.workflow.WorkflowSpec;
 import dev.dandelionport.core.workflow.WorkflowState;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -28,25 +25,24 @@
 
   private final WorkflowScheduler scheduler;
   private final ClusterView clusterView;
+  private final SubmissionGate submissionGate;
+  private final PendingAnswers pendingAnswers = new PendingAnswers();
 
-  /** Answers whose records are not durable yet, in the order of the requests. */
-  private final Set<CompletableFuture<WorkflowAnswer>> pendingAnswers = new LinkedHashSet<>();
-
-  private WorkflowJournal journal;
-
-  ClientRequestHandler(WorkflowScheduler scheduler, ClusterView clusterView) {
+  ClientRequestHandler(
+      WorkflowScheduler scheduler, ClusterView clusterView, SubmissionGate submissionGate) {
     this.scheduler = scheduler;
     this.clusterView = clusterView;
+    this.submissionGate = submissionGate;
   }
 
   void setJournal(WorkflowJournal j) {
-    journal = j;
+    pendingAnswers.setJournal(j);
   }
 
   /** Handles a request; {@code decided} executes the scheduler's decisions about it. */
   CompletableFuture<WorkflowAnswer> handle(WorkflowCall c, Runnable applyDecisions) {
     if (!clusterView.isPolicyCurrent()) {
-      return answerNow(new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, RETRY_AFTER_MILLIS));
+      return answerNow(answerWithoutPolicy(c));
     }
     ClusterPolicy policy = clusterView.policy();
     Optional<Queue> route = policy.route(c.host(), c.path());
@@ -76,9 +72,10 @@
       return answerNow(WorkflowAnswer.of(WorkflowStatus.UNKNOWN_WORKFLOW));
     }
     if (c.kind() == WorkflowCallKind.CANCEL) {
+      long position = pendingAnswers.position();
       scheduler.cancel(id);
       applyDecisions.run();
-      return answerWhenDurable(new WorkflowAnswer(WorkflowStatus.OK, null, 0, 0));
+      return pendingAnswers.whenDurable(position);
     }
     WorkflowState state = scheduler.state(id).orElseThrow();
     return answerNow(new WorkflowAnswer(WorkflowStatus.OK, state, 0, 0));
@@ -97,36 +94,46 @@
     if (id.isEmpty() || body.steps().isEmpty()) {
       return answerNow(WorkflowAnswer.of(WorkflowStatus.INVALID));
     }
+    if (scheduler.queueOf(id).isPresent()) {
+      return pendingAnswers.isDurable(id)
+          ? answerNow(new WorkflowAnswer(WorkflowStatus.OK, null, 0, 0))
+          : pendingAnswers.repeated(id);
+    }
+    Optional<WorkflowAnswer> closed = submissionGate.check(c);
+    if (closed.isPresent()) {
+      return answerNow(closed.get());
+    }
     WorkflowSpec spec =
         new WorkflowSpec(
             id, q.name(), account, body.payload(), body.steps(), body.recurrence(), false);
+    long position = pendingAnswers.position();
     scheduler.submit(spec);
     applyDecisions.run();
-    return answerWhenDurable(new WorkflowAnswer(WorkflowStatus.OK, null, 0, 0));
+    return pendingAnswers.accepted(id, position);
   }
 
-  private CompletableFuture<WorkflowAnswer> answerWhenDurable(WorkflowAnswer answer) {
-    CompletableFuture<WorkflowAnswer> f = new CompletableFuture<>();
-    pendingAnswers.add(f);
-    journal.append(
-        List.of(),
-        () -> {
-          pendingAnswers.remove(f);
-          f.complete(answer);
-        });
-    return f;
+  /**
+   * Returns the answer while the configuration may be outdated. Keys cannot be checked then, but a
+   * workflow that has been accepted must not be reported as refused.
+   */
+  private WorkflowAnswer answerWithoutPolicy(WorkflowCall c) {
+    if (c.kind() != WorkflowCallKind.SUBMIT) {
+      return new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, RETRY_AFTER_MILLIS);
+    }
+    Optional<Queue> route = clusterView.policy().route(c.host(), c.path());
+    boolean known =
+        route.flatMap(q -> scheduler.queueOf(c.path().substring(q.prefix().length()))).isPresent();
+    return known
+        ? WorkflowAnswer.of(WorkflowStatus.UNCERTAIN)
+        : submissionGate.refuse(c, "the configuration is not confirmed", RETRY_AFTER_MILLIS);
   }
 
   private static CompletableFuture<WorkflowAnswer> answerNow(WorkflowAnswer answer) {
     return CompletableFuture.completedFuture(answer);
   }
 
-  /**
-   * Completes all pending answers as uncertain, because their records may or may not have been
-   * stored.
-   */
+  /** Completes all pending answers after the journal has been stopped. */
   void close() {
-    pendingAnswers.forEach(f -> f.complete(WorkflowAnswer.of(WorkflowStatus.UNCERTAIN)));
-    pendingAnswers.clear();
+    pendingAnswers.close();
   }
 }
--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
@@ -0,0 +1,106 @@
+package dev.dandelionport.core.dispatch;
+
+import dev.dandelionport.core.common.Shard;
+import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
+import dev.dandelionport.core.message.PeerMessage.WorkflowCall;
+import dev.dandelionport.core.message.WorkflowStatus;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/**
+ * Keeps submissions of unknown ids out of the journal while the store does not accept the owner's
+ * writes. Made for outages of seconds under about a hundred submissions per second: in the journal
+ * each of them would wait until its caller's deadline and get an answer that the caller cannot act
+ * on. Guarded by the owner's shard.
+ */
+final class SubmissionGate {
+
+  /** Age of the oldest unanswered write from which the store counts as not accepting writes. */
+  static final long MAX_WRITE_AGE_MILLIS = 300;
+
+  private static final long MIN_RETRY_MILLIS = 500;
+  private static final long MAX_RETRY_MILLIS = 5_000;
+
+  /**
+   * Time after which a submission is tried again at a process that may no longer be the owner, in
+   * milliseconds. All waiting callers do so, so it is longer than after a change of the owner.
+   */
+  private static final long UNSURE_OWNER_RETRY_MILLIS = 250;
+
+  /**
+   * What an owner knows of its contact to the store.
+   *
+   * @param oldestWriteMillis age of the oldest unanswered write, 0 if there is none
+   * @param contactAgeMillis time since the store last accepted a write or a renewal
+   * @param renewalsFail whether renewals of the owner's lease fail, so that another instance may
+   *     have been asked to replace this one
+   * @param leaseValid whether the owner's lease is certainly valid
+   */
+  record StoreContact(
+      long oldestWriteMillis, long contactAgeMillis, boolean renewalsFail, boolean leaseValid) {
+
+    private boolean acceptsWrites() {
+      return oldestWriteMillis <= MAX_WRITE_AGE_MILLIS
+          && (!renewalsFail || contactAgeMillis <= MAX_WRITE_AGE_MILLIS);
+    }
+
+    /** Returns whether no other instance can have become the owner. */
+    private boolean isOwnershipCertain() {
+      return leaseValid && !renewalsFail;
+    }
+  }
+
+  private final DispatchContext context;
+  private final Shard shard;
+  private final Supplier<StoreContact> storeContact;
+
+  /** Creates a gate; {@code storeContact} supplies the present contact to the store. */
+  SubmissionGate(DispatchContext context, Shard shard, Supplier<StoreContact> storeContact) {
+    this.context = context;
+    this.shard = shard;
+    this.storeContact = storeContact;
+  }
+
+  /** Returns the answer to a submission of an unknown id, empty if it may enter the journal. */
+  Optional<WorkflowAnswer> check(WorkflowCall c) {
+    StoreContact contact = storeContact.get();
+    if (contact.acceptsWrites()) {
+      return Optional.empty();
+    }
+    // An outage that has lasted for some time is expected to last as long again.
+    long retryMillis =
+        Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, contact.oldestWriteMillis()));
+    return Optional.of(refuse(c, contact, "the store does not accept writes", retryMillis));
+  }
+
+  /** Returns the answer to a submission of an unknown id that is refused for another reason. */
+  WorkflowAnswer refuse(WorkflowCall c, String reason, long retryMillis) {
+    return refuse(c, storeContact.get(), reason, retryMillis);
+  }
+
+  /**
+   * Returns a refusal if this process certainly is the owner. Otherwise the next owner may have
+   * accepted the id, so the answer is "not the owner", and the caller's instance tries again.
+   */
+  private WorkflowAnswer refuse(
+      WorkflowCall c, StoreContact contact, String reason, long retryMillis) {
+    if (!contact.isOwnershipCertain()) {
+      return new WorkflowAnswer(WorkflowStatus.NOT_OWNER, null, 0, UNSURE_OWNER_RETRY_MILLIS);
+    }
+    shard.runAfterUnlock(
+        () ->
+            context.report(
+                DispatchTopic.REQUEST_REFUSED,
+                "why",
+                reason,
+                "kind",
+                c.kind().name(),
+                "path",
+                c.path(),
+                "waitedMillis",
+                0L,
+                "uncertain",
+                false));
+    return new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, retryMillis);
+  }
+}
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -128,6 +128,7 @@
               shard,
               ownKey.revision(),
               election::isLeaseValid,
+              election::isOwnerWithoutStore,
               () -> shard.run(() -> election.ownershipLost(ownKey)));
       owner = o;
       shard.runAfterUnlock(o::start);
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
@@ -81,6 +81,8 @@
   private final Deque<Batch> inFlight = new ArrayDeque<>();
   private List<WorkflowRecord> records = new ArrayList<>();
   private List<Runnable> onDurable = new ArrayList<>();
+  private long appendedRecords;
+  private long sentRecords;
   private long nextBatch;
   private long batchesSinceSnapshot;
   private boolean firstWritePending = true;
@@ -138,6 +140,19 @@
     return inFlight.isEmpty() && records.isEmpty() && onDurable.isEmpty();
   }
 
+  /** Returns the number of records appended so far. */
+  long appendedRecords() {
+    return appendedRecords;
+  }
+
+  /**
+   * Returns the number of appended records that may be in the store. A stopped journal sends no
+   * further ones, so the others are certainly never stored.
+   */
+  long sentRecords() {
+    return sentRecords;
+  }
+
   /** Returns the size and age of the data that is not stored yet. */
   JournalBacklog backlog() {
     int n = records.size();
@@ -165,6 +180,7 @@
       return;
     }
     records.addAll(newRecords);
+    appendedRecords += newRecords.size();
     onDurable.add(callback);
     scheduleWrite();
   }
@@ -203,6 +219,7 @@
 
   private void write() {
     lastWriteMillis = context.nowMillis();
+    sentRecords = appendedRecords;
     final byte[] bytes = WorkflowCodec.encode(records);
     String key = StoreKeys.batch(nextBatch++);
     List<Condition> conditions = new ArrayList<>();
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -51,6 +51,7 @@
   private final Shard shard;
   private final long revision;
   private final BooleanSupplier leaseValid;
+  private final BooleanSupplier renewalsFail;
   private final Runnable onLost;
   private final WorkflowScheduler scheduler;
   private final ClusterView clusterView;
@@ -59,7 +60,7 @@
   private final OwnerLoad load;
   private final RunnerLinks links;
   private final PassPacer passPacer = new PassPacer();
-  private final RecoveryCallQueue queuedCalls = new RecoveryCallQueue();
+  private final RecoveryCallQueue queuedCalls;
   private final long formerLeasesExpireMillis;
   private final long claimedMillis;
   private WorkflowJournal journal;
@@ -73,6 +74,8 @@
    * Creates an owner whose key has {@code revision}, which is also its fencing token.
    *
    * @param leaseValid whether the owner's lease is certainly valid; called with the lock held
+   * @param renewalsFail whether the store does not renew the owner's lease; called with the lock
+   *     held
    * @param onLost called once, outside the lock, when another instance is the owner
    */
   WorkflowOwner(
@@ -80,16 +83,21 @@
       Shard shard,
       long revision,
       BooleanSupplier leaseValid,
+      BooleanSupplier renewalsFail,
       Runnable onLost) {
     this.context = context;
     this.shard = shard;
     this.revision = revision;
     this.leaseValid = leaseValid;
+    this.renewalsFail = renewalsFail;
     this.onLost = onLost;
     this.scheduler = new WorkflowScheduler(context.settings().limits());
     this.clusterView = new ClusterView(context, shard, this::clusterViewChanged);
     this.adviceDispatcher = new AdviceDispatcher(context, shard, this::handleAdvice);
-    this.requestHandler = new ClientRequestHandler(scheduler, clusterView);
+    this.requestHandler =
+        new ClientRequestHandler(
+            scheduler, clusterView, new SubmissionGate(context, shard, this::storeContact));
+    this.queuedCalls = new RecoveryCallQueue(context, shard);
     this.claimedMillis = context.nowMillis();
     this.storeContactMillis = claimedMillis;
     long leasesExpireMillis =
@@ -421,6 +429,14 @@
         : queuedCalls.add(c);
   }
 
+  private SubmissionGate.StoreContact storeContact() {
+    return new SubmissionGate.StoreContact(
+        journal.backlog().oldestMillis(),
+        context.nowMillis() - storeContactMillis,
+        renewalsFail.getAsBoolean(),
+        leaseValid.getAsBoolean());
+  }
+
   /** Handles a batch of queued calls, then lets other work run. */
   private void answerQueuedCalls() {
     boolean more =
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformCluster.java
@@ -265,7 +265,8 @@
   }
 
   /**
-   * Submits a workflow through an instance, and records from the answer whether it was accepted.
+   * Submits a workflow through an instance, and records from the answer whether it was accepted or
+   * refused.
    */
   CompletableFuture<WorkflowAnswer> submit(
       WorkflowCluster.Node node, String id, String queue, String account, List<StepSpec> steps) {
@@ -280,7 +281,11 @@
     WorkflowSpec spec = new WorkflowSpec("", "", "", "p", w.steps, w.recurrence, false);
     CompletableFuture<WorkflowAnswer> f =
         call(node, WorkflowCallKind.SUBMIT, id, WorkflowCodec.encodeSpec(spec));
-    f.thenAccept(a -> w.accepted |= a.status() == WorkflowStatus.OK);
+    f.thenAccept(
+        a -> {
+          w.accepted |= a.status() == WorkflowStatus.OK;
+          w.refused |= a.status() == WorkflowStatus.REFUSED;
+        });
     return f;
   }
 
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformInvariants.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformInvariants.java
@@ -35,6 +35,7 @@
     final List<StepSpec> steps;
     final Recurrence recurrence;
     boolean accepted;
+    boolean refused;
     boolean cancelSent;
     long cancelledMillis;
 
@@ -177,6 +178,9 @@
       violations.add(start + "the workflow was not submitted");
       return;
     }
+    if (w.refused) {
+      violations.add(start + "the submission was refused");
+    }
     final StepSpec spec = stepSpec(s.task());
     if (running.values().stream().anyMatch(r -> r.contains(s.task()))) {
       violations.add(start + "also runs on another runner");
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -308,8 +308,8 @@
   }
 
   // Guards against combinations of faults that violate an invariant: a task that runs twice at
-  // once, a task that starts after its acknowledged end, a runner over its capacity, or a lost
-  // workflow.
+  // once, a task that starts after its acknowledged end, a runner over its capacity, a lost
+  // workflow, or a refused workflow that was accepted.
   @ParameterizedTest
   @MethodSource("seeds")
   void invariantsHoldUnderRandomFaults(long seed) {
@@ -362,13 +362,12 @@
     endFaults(c);
     c.time.runFor(60_000);
     Set<String> unfinished = new TreeSet<>();
-    List<String> accepted = new ArrayList<>();
-    answers.forEach(
-        (id, f) -> {
-          if (f.isDone() && f.join().status() == WorkflowStatus.OK) {
-            accepted.add(id);
-          }
-        });
+    List<String> accepted = withAnswer(answers, WorkflowStatus.OK);
+    for (String id : withAnswer(answers, WorkflowStatus.REFUSED)) {
+      assertThat(await(c, c.read(c.anyNode(), id)).status())
+          .as("refused workflow %s", id)
+          .isEqualTo(WorkflowStatus.UNKNOWN_WORKFLOW);
+    }
     for (String id : accepted) {
       if (!isCompleted(c, id)) {
         unfinished.add(id);
@@ -379,6 +378,14 @@
     assertThat(accepted).isNotEmpty();
   }
 
+  private static List<String> withAnswer(
+      Map<String, CompletableFuture<WorkflowAnswer>> answers, WorkflowStatus status) {
+    return answers.entrySet().stream()
+        .filter(e -> e.getValue().isDone() && e.getValue().join().status() == status)
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   private static void injectFault(WorkflowCluster c, Random random) {
     List<String> names = new ArrayList<>(new TreeSet<>(c.nodes.keySet()));
     if (names.size() == 1) {
