Owner: a single lost answer of the store is no reason to refuse

Cause: submissions were refused as soon as the oldest batch had no answer for 300 ms.

Change: the store counts as not accepting writes if a batch has waited for 300 ms in which the store accepted no write.

The new test fails with the former rule.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
@@ -15,8 +15,11 @@
  */
 final class SubmissionGate {
 
-  /** Age of the oldest unanswered write from which the store counts as not accepting writes. */
-  static final long MAX_WRITE_AGE_MILLIS = 300;
+  /**
+   * Time without an accepted write from which the store counts as not accepting writes, in
+   * milliseconds.
+   */
+  private static final long MAX_BLOCKED_MILLIS = 300;
 
   private static final long MIN_RETRY_MILLIS = 500;
   private static final long MAX_RETRY_MILLIS = 5_000;
@@ -30,18 +33,19 @@
   /**
    * What an owner knows of its contact to the store.
    *
-   * @param oldestWriteMillis age of the oldest unanswered write, 0 if there is none
+   * @param blockedMillis time for which a write has waited while the store accepted none, 0 if none
+   *     waits
    * @param contactAgeMillis time since the store last accepted a write or a renewal
    * @param renewalsFail whether renewals of the owner's lease fail, so that another instance may
    *     have been asked to replace this one
    * @param leaseValid whether the owner's lease is certainly valid
    */
   record StoreContact(
-      long oldestWriteMillis, long contactAgeMillis, boolean renewalsFail, boolean leaseValid) {
+      long blockedMillis, long contactAgeMillis, boolean renewalsFail, boolean leaseValid) {
 
     private boolean acceptsWrites() {
-      return oldestWriteMillis <= MAX_WRITE_AGE_MILLIS
-          && (!renewalsFail || contactAgeMillis <= MAX_WRITE_AGE_MILLIS);
+      return blockedMillis <= MAX_BLOCKED_MILLIS
+          && (!renewalsFail || contactAgeMillis <= MAX_BLOCKED_MILLIS);
     }
 
     /** Returns whether no other instance can have become the owner. */
@@ -69,7 +73,7 @@
     }
     // An outage that has lasted for some time is expected to last as long again.
     long retryMillis =
-        Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, contact.oldestWriteMillis()));
+        Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, contact.blockedMillis()));
     return Optional.of(refuse(c, contact, "the store does not accept writes", retryMillis));
   }
 
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
@@ -90,6 +90,7 @@
   private boolean writeScheduled;
   private boolean stopped;
   private long lastWriteMillis;
+  private long lastStoredMillis = Long.MIN_VALUE;
   private long failingSinceMillis;
 
   /** Error of the latest failed call since the last successful one; empty if there is none. */
@@ -153,6 +154,18 @@
     return sentRecords;
   }
 
+  /**
+   * Returns the time for which a batch has waited while the store has accepted no write, in
+   * milliseconds; 0 if none waits. A single lost answer does not count while later writes are
+   * stored.
+   */
+  long blockedMillis() {
+    Batch oldest = inFlight.peek();
+    return oldest == null
+        ? 0
+        : context.nowMillis() - Math.max(oldest.writtenMillis, lastStoredMillis);
+  }
+
   /** Returns the size and age of the data that is not stored yet. */
   JournalBacklog backlog() {
     int n = records.size();
@@ -334,6 +347,7 @@
     }
     failingSinceMillis = 0;
     lastError = "";
+    lastStoredMillis = context.nowMillis();
     onStored.accept(revision);
   }
 
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -431,7 +431,7 @@
 
   private SubmissionGate.StoreContact storeContact() {
     return new SubmissionGate.StoreContact(
-        journal.backlog().oldestMillis(),
+        journal.blockedMillis(),
         context.nowMillis() - storeContactMillis,
         renewalsFail.getAsBoolean(),
         leaseValid.getAsBoolean());
--- a/core/src/test/java/dev/dandelionport/core/dispatch/StoreOutageAnswersTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/StoreOutageAnswersTest.java
@@ -48,6 +48,25 @@
     assertThat(c.reports).anyMatch(r -> "the store does not accept writes".equals(why(r)));
   }
 
+  // A single answer of the store that was lost made an owner refuse, although the store went on to
+  // accept writes and the batch was stored a moment later (random faults: 2,297 of 16,000 refused,
+  // 1,970 fewer accepted than without refusals).
+  @Test
+  void submissionIsAcceptedWhileOnlyOneAnswerOfTheStoreIsLost() {
+    WorkflowCluster c = cluster(34, 1);
+    c.store.lostAnswerFraction = 1;
+    c.submit(c.anyNode(), "w0", ONE_TASK);
+    c.time.runFor(10);
+    c.store.lostAnswerFraction = 0;
+    for (int i = 1; i <= 3; i++) {
+      c.time.runFor(100);
+      c.submit(c.anyNode(), "w" + i, ONE_TASK);
+    }
+    c.time.runFor(25);
+    assertThat(await(c, c.submit(c.anyNode(), "w", ONE_TASK), 1_000).status())
+        .isEqualTo(WorkflowStatus.OK);
+  }
+
   private static Object why(WorkflowCluster.Report r) {
     return r.topic() == DispatchTopic.REQUEST_REFUSED ? r.fields().get("why") : "";
   }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -333,6 +333,48 @@
     assertThat(c.offersMillis).filteredOn(t -> t > c.time.nowMillis() - 50_000).isEmpty();
   }
 
+  // Guards against an owner, present or former, that refuses a repeated submission of a workflow
+  // that any owner has accepted.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void acceptedWorkflowIsNeverRefusedByAnOwnerUnderRandomFaults(long seed) {
+    WorkflowCluster c = new WorkflowCluster(seed, 4);
+    c.time.runFor(2_000);
+    Random random = new Random(seed);
+    List<String> accepted = new ArrayList<>();
+    List<String> refused = new ArrayList<>();
+    for (int i = 0; i < 400; i++) {
+      String id = "w" + i;
+      c.submit(c.anyNode(), id, step(1))
+          .thenAccept(
+              a -> {
+                if (a.status() == WorkflowStatus.OK) {
+                  accepted.add(id);
+                }
+              });
+      for (int k = 0; k < 3 && !accepted.isEmpty(); k++) {
+        String repeated = accepted.get(accepted.size() - 1 - random.nextInt(accepted.size()) / 8);
+        int firstReport = c.reports.size();
+        c.submit(c.anyNode(), repeated, step(1))
+            .thenAccept(
+                a ->
+                    c.reports.subList(firstReport, c.reports.size()).stream()
+                        .filter(r -> isRefusalByOwner(r, repeated))
+                        .forEach(r -> refused.add(repeated)));
+      }
+      injectFault(c, random);
+      c.time.runFor(50 + random.nextInt(100));
+    }
+    assertThat(accepted).isNotEmpty();
+    assertThat(refused).isEmpty();
+  }
+
+  private static boolean isRefusalByOwner(WorkflowCluster.Report r, String id) {
+    return r.topic() == DispatchTopic.REQUEST_REFUSED
+        && r.fields().get("path").equals("/q/" + id)
+        && !r.fields().get("why").equals("no owner answered");
+  }
+
   // A closing owner answered pending requests in hash code order, so no seed was reproducible.
   @Test
   void randomFaultsAreReproducibleFromSeed() {
