--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
@@ -81,6 +81,8 @@
   private final Deque<Batch> inFlight = new ArrayDeque<>();
   private List<WorkflowRecord> records = new ArrayList<>();
   private List<Runnable> onDurable = new ArrayList<>();
+  private long appendedRecords;
+  private long sentRecords;
   private long nextBatch;
   private long batchesSinceSnapshot;
   private boolean firstWritePending = true;
@@ -88,6 +90,7 @@
   private boolean writeScheduled;
   private boolean stopped;
   private long lastWriteMillis;
+  private long lastStoredMillis = Long.MIN_VALUE;
   private long failingSinceMillis;
 
   /** Error of the latest failed call since the last successful one; empty if there is none. */
@@ -138,6 +141,31 @@
     return inFlight.isEmpty() && records.isEmpty() && onDurable.isEmpty();
   }
 
+  /** Returns the number of records appended so far. */
+  long appendedRecords() {
+    return appendedRecords;
+  }
+
+  /**
+   * Returns the number of appended records that may be in the store. A stopped journal sends no
+   * further ones, so the others are certainly never stored.
+   */
+  long sentRecords() {
+    return sentRecords;
+  }
+
+  /**
+   * Returns the time for which a batch has waited while the store has accepted no write, in
+   * milliseconds; 0 if none waits. A single lost answer does not count while later writes are
+   * stored.
+   */
+  long blockedMillis() {
+    Batch oldest = inFlight.peek();
+    return oldest == null
+        ? 0
+        : context.nowMillis() - Math.max(oldest.writtenMillis, lastStoredMillis);
+  }
+
   /** Returns the size and age of the data that is not stored yet. */
   JournalBacklog backlog() {
     int n = records.size();
@@ -165,6 +193,7 @@
       return;
     }
     records.addAll(newRecords);
+    appendedRecords += newRecords.size();
     onDurable.add(callback);
     scheduleWrite();
   }
@@ -203,6 +232,7 @@
 
   private void write() {
     lastWriteMillis = context.nowMillis();
+    sentRecords = appendedRecords;
     final byte[] bytes = WorkflowCodec.encode(records);
     String key = StoreKeys.batch(nextBatch++);
     List<Condition> conditions = new ArrayList<>();
@@ -317,6 +347,7 @@
     }
     failingSinceMillis = 0;
     lastError = "";
+    lastStoredMillis = context.nowMillis();
     onStored.accept(revision);
   }
 
