Decisions about stragglers and faulty runners (core.health)

FailureRating takes the failure rate and the doubling hold time out of WorkerHealth, which behaves as before.

--- /dev/null
+++ b/core/src/main/java/dev/dandelionport/core/health/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decisions about the health of runners and workers, and about runs that take long. */
+package dev.dandelionport.core.health;
--- a/core/src/main/java/dev/dandelionport/core/scheduler/WorkerHealth.java
+++ b/core/src/main/java/dev/dandelionport/core/scheduler/WorkerHealth.java
@@ -1,5 +1,7 @@
 package dev.dandelionport.core.scheduler;
 
+import dev.dandelionport.core.health.FailureRating;
+
 /**
  * Failure rate of one worker. The worker is held back while nearly everything that it starts fails:
  * it gets no work, except for one attempt as a probe after each backoff.
@@ -15,8 +17,9 @@
   private static final long INITIAL_BACKOFF_MILLIS = 1_000;
   private static final long MAX_BACKOFF_MILLIS = 60_000;
 
-  private double failureRate;
-  private int backoffs;
+  private final FailureRating rating =
+      new FailureRating(
+          SMOOTHING_FACTOR, MAX_FAILURE_RATE, INITIAL_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
   private boolean heldBack;
   private long probeAtMillis;
 
@@ -25,22 +28,19 @@
    * held back from now on.
    */
   boolean recordOutcome(boolean failed, String worker, long now) {
-    failureRate += SMOOTHING_FACTOR * ((failed ? 1 : 0) - failureRate);
+    boolean rateTooHigh = rating.record(failed);
     if (heldBack && !failed) {
       heldBack = false;
-      backoffs = 0;
-      failureRate = 0;
+      rating.reset();
       return false;
     }
-    if (!failed || failureRate < MAX_FAILURE_RATE) {
+    if (!failed || !rateTooHigh) {
       return false;
     }
     final boolean newlyHeldBack = !heldBack;
     heldBack = true;
-    long backoffMillis =
-        Math.min(MAX_BACKOFF_MILLIS, INITIAL_BACKOFF_MILLIS << Math.min(backoffs, 10));
-    backoffs++;
-    probeAtMillis = now + RetryPolicy.jittered(worker + '#' + backoffs, backoffMillis);
+    long backoffMillis = rating.nextHoldMillis();
+    probeAtMillis = now + RetryPolicy.jittered(worker + '#' + rating.holds(), backoffMillis);
     return newlyHeldBack;
   }
 
@@ -49,7 +49,7 @@
   }
 
   double failureRate() {
-    return failureRate;
+    return rating.rate();
   }
 
   long probeAtMillis() {
