Weigh a stop of a long run against the work that it discards

Cause: with 3 of 100 tasks seven times as long, 607 good runs of 14,205 were stopped in the simulated cell and healthy runners quarantined for 522 s. Change: Watchdog stops a conspicuous run by the probability that its runner is at fault; HealthRecorder learns it from what stopped tasks take elsewhere. Gangs have run times of their own. Two confirmed faults or three stuck runs in a row quarantine a runner until three probes succeed; urgent work and gangs are probes only where no other runner is free; flapping runners get short work.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -47,6 +47,15 @@
    */
   private static final long MIN_TICKET_MILLIS = 80;
 
+  /**
+   * Cost added to a quarantined runner for work that should not be a probe, so that it only gets
+   * such work if no other runner is free.
+   */
+  private static final double PROBE_COST = 100;
+
+  /** Expected run time up to which a task may start on a runner that flaps, in milliseconds. */
+  private static final long SHORT_MILLIS = 1_000;
+
   private final CellState cell;
   private final RunLifecycle runs;
   private final AdviceTracker advice;
@@ -225,7 +234,14 @@
     return cell.takesWork(r, q)
         && (s.spec.requiredLabel().isEmpty()
             || r.description.labels().contains(s.spec.requiredLabel()))
-        && r.health.acceptsRuns(cell.now);
+        && r.health.acceptsRuns(cell.now)
+        && (isShort(s) || !r.health.isFlapping(cell.now));
+  }
+
+  private boolean isShort(Step s) {
+    return !s.spec.gang()
+        && !s.spec.longRunning()
+        && cell.runTimes.expectedMillis(s) <= SHORT_MILLIS;
   }
 
   /**
@@ -327,6 +343,8 @@
    */
   double cost(Step s, Runner r) {
     double cost = r.health.cost();
+    boolean unfitAsProbe = s.priority == 0 || s.spec.gang();
+    cost += unfitAsProbe && r.health.isQuarantined() ? PROBE_COST : 0;
     if (!s.spec.dataRack().isEmpty() && !r.description.labels().contains(s.spec.dataRack())) {
       cost *= cell.limits.remoteFactor();
     }
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunLifecycle.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunLifecycle.java
@@ -7,6 +7,7 @@
 import dev.dandelionport.core.workflow.WorkflowRecord.Closed;
 import dev.dandelionport.core.workflow.WorkflowRecord.Ended;
 import dev.dandelionport.core.workflow.WorkflowRecord.Intended;
+import java.util.ArrayList;
 import java.util.List;
 
 /** Starts, stops and ends runs and workflows, and updates all state that depends on them. */
@@ -24,9 +25,11 @@
   private static final long MAX_RETRY_MILLIS = 2_000;
 
   private final CellState cell;
+  private final HealthRecorder health;
 
-  RunLifecycle(CellState cell) {
+  RunLifecycle(CellState cell, HealthRecorder health) {
     this.cell = cell;
+    this.health = health;
   }
 
   /** Reserves the runner for a new run of a task, records the intent and emits the start. */
@@ -55,20 +58,14 @@
     sendStop(r);
   }
 
-  /** Stops a run and logs the reason. */
-  void stop(Run r, Stop stopReason, String reason) {
-    cell.log(
-        Topic.STOPPED,
-        "task",
-        r.task.key.toString(),
-        "run",
-        r.number,
-        "runner",
-        r.runner.id(),
-        "why",
-        reason,
-        "ranMillis",
-        cell.now - r.startSentMillis);
+  /** Stops a run and logs the reason, with more fields that alternate between name and value. */
+  void stop(Run r, Stop stopReason, String reason, Object... more) {
+    List<Object> fields = new ArrayList<>();
+    fields.addAll(List.of("task", r.task.key.toString(), "run", r.number));
+    fields.addAll(List.of("runner", r.runner.id(), "why", reason));
+    fields.addAll(List.of("ranMillis", cell.now - r.startSentMillis));
+    fields.addAll(List.of(more));
+    cell.log(Topic.STOPPED, fields.toArray());
     stop(r, stopReason);
   }
 
@@ -90,7 +87,7 @@
     cell.release(r);
     t.run = null;
     cell.addRecord(new Ended(t.key, r.number, outcome, checkpoint));
-    updateHealth(r, outcome);
+    health.recordEnd(r, outcome);
     if (outcome != RunEnd.DONE && outcome != RunEnd.NEVER_STARTED
         || r.stopReason == Stop.UNANSWERED) {
       cell.log(
@@ -138,35 +135,6 @@
     advanceWorkflow(t);
   }
 
-  private void updateHealth(Run r, RunEnd outcome) {
-    RunnerHealth h = r.runner.health;
-    Task t = r.task;
-    boolean wasQuarantined = h.isQuarantined();
-    if (outcome == RunEnd.DONE && r.startSentMillis > 0) {
-      boolean fullRun = t.checkpoint.isEmpty() && !r.inherited && !t.step.spec.gang();
-      long runMillis = cell.now - r.startSentMillis;
-      t.step.longestRunMillis =
-          fullRun ? Math.max(t.step.longestRunMillis, runMillis) : t.step.longestRunMillis;
-      h.recordSuccess(fullRun ? cell.runTimes.recordRun(t.step, runMillis) : 1);
-    } else if (outcome == RunEnd.FAILED
-        && t.failures == 0
-        && r.incarnation == r.runner.incarnation) {
-      h.recordFailure(cell.now, r.probe);
-    } else if (r.probe) {
-      h.recordInconclusiveProbe();
-    }
-    if (h.isQuarantined() != wasQuarantined) {
-      cell.log(
-          Topic.RUNNER_HELD,
-          "runner",
-          r.runner.id(),
-          "held",
-          h.isQuarantined(),
-          "cause",
-          outcome.name());
-    }
-  }
-
   /**
    * Applies the end of a run to the state that the journal rebuilds; used for live events and in
    * replay.
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerHealth.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerHealth.java
@@ -1,9 +1,15 @@
 package dev.dandelionport.core.workflow;
 
+import dev.dandelionport.core.health.FailureRating;
+import dev.dandelionport.core.health.FaultEvidence;
+import dev.dandelionport.core.health.FlapDetector;
+import dev.dandelionport.core.health.SpeedRatio;
+
 /**
- * Rates a runner by the outcomes of its runs: how often they fail, and how long they take compared
- * with the expected run time. A runner on which nearly all runs fail is quarantined (held back, in
- * the log): it gets no runs for a while, then single runs as probes until one of them succeeds.
+ * Rates a runner by the outcomes of its runs: how often they fail, how often they hang, and how
+ * long they take compared with the expected run time. A runner on which nearly all runs fail, or
+ * several hang, is quarantined (held back, in the log): it gets no runs for a while, then single
+ * runs as probes until enough of them succeed.
  */
 final class RunnerHealth {
 
@@ -13,50 +19,127 @@
   /** Failure rate from which a runner is quarantined. */
   private static final double MAX_FAILURE_RATE = 0.6;
 
-  /** Weight of the latest run in {@link #slowness}. */
-  private static final double SPEED_WEIGHT = 0.3;
-
   private static final long MIN_QUARANTINE_MILLIS = 1_000;
   private static final long MAX_QUARANTINE_MILLIS = 8_000;
 
   /** Time without a probe after which the quarantine of a runner that may be probed ends. */
   private static final long PROBE_WAIT_MILLIS = 2_000;
 
-  private double failureRate;
-  private double slowness = 1;
-  private int quarantineCount;
+  /** Number of suspected hangs without a completed run between them that count as faults. */
+  private static final int MAX_SUSPICIONS = 3;
+
+  /** Weight of the recorded faults from which a runner is quarantined for hanging. */
+  private static final double MAX_FAULTS = 1.5;
+
+  /**
+   * Successful probes that end the quarantine of a runner that hangs some of its tasks; a runner
+   * that hangs a third of them passes three with a probability of 0.3.
+   */
+  private static final int HANGING_PROBES = 3;
+
+  /** Bound of the speed ratio in the cost, because a single ratio may be far off. */
+  private static final double MAX_SPEED_RATIO = 10;
+
+  /** Cost of the share of runs that hang; a hung run takes about three times the usual time. */
+  private static final double HANG_COST = 4;
+
+  private final FailureRating failures =
+      new FailureRating(
+          FAILURE_WEIGHT, MAX_FAILURE_RATE, MIN_QUARANTINE_MILLIS, MAX_QUARANTINE_MILLIS);
+  private final SpeedRatio speed = new SpeedRatio();
+  private final FlapDetector starts = new FlapDetector();
+  private final FaultEvidence faults = new FaultEvidence();
+  private int suspicions;
   private long quarantineEndMillis;
   private boolean quarantined;
+  private int neededProbes;
   private int activeProbes;
 
   /**
-   * Records a run that succeeded in {@code ratio} times the expected time, and ends the quarantine.
+   * Records a run that succeeded. It ends the quarantine, unless the runner has hung several tasks:
+   * then a number of probes has to succeed.
    */
-  void recordSuccess(double ratio) {
-    failureRate -= FAILURE_WEIGHT * failureRate;
-    slowness += SPEED_WEIGHT * (Math.min(ratio, 10) - slowness);
+  void recordSuccess(boolean probe) {
+    failures.record(false);
+    faults.recordRun();
+    suspicions = 0;
+    if (quarantined && neededProbes > 1) {
+      neededProbes -= probe ? 1 : 0;
+      activeProbes -= probe && activeProbes > 0 ? 1 : 0;
+      return;
+    }
+    release();
+    if (faults.faults() < MAX_FAULTS) {
+      failures.resetHolds();
+    }
+  }
+
+  private void release() {
     quarantined = false;
-    quarantineCount = 0;
+    neededProbes = 0;
     activeProbes = 0;
   }
 
+  /** Records the ratio of a run's time to the expected time of its queue. */
+  void recordSpeed(double ratio) {
+    speed.add(Math.min(ratio, MAX_SPEED_RATIO));
+  }
+
   /** Records a failure that the runner may have caused. A failed probe renews the quarantine. */
   void recordFailure(long now, boolean probe) {
-    failureRate += FAILURE_WEIGHT * (1 - failureRate);
-    if (probe || failureRate >= MAX_FAILURE_RATE) {
+    if (failures.record(true) || probe) {
+      quarantine(now);
+    }
+  }
+
+  /**
+   * Records that a run was stopped as stuck.
+   *
+   * @param likely whether this runner is more likely at fault than the task
+   */
+  void recordSuspicion(long now, boolean likely, boolean probe) {
+    suspicions++;
+    if (suspicions >= MAX_SUSPICIONS) {
+      quarantineAsHanging(now);
+    } else if (likely || probe) {
       quarantine(now);
     }
   }
 
+  /**
+   * Records that a task which was stopped here took the usual time elsewhere.
+   *
+   * @param weight probability that it was this runner that hung it
+   */
+  void recordFault(long now, double weight) {
+    faults.recordFault(weight);
+    if (faults.faults() >= MAX_FAULTS && weight > 0.5) {
+      quarantineAsHanging(now);
+    }
+  }
+
+  /** Records that a task which was stopped here took as long elsewhere. */
+  void clearSuspicion() {
+    suspicions = 0;
+    if (quarantined && neededProbes <= 1 && failures.rate() < MAX_FAILURE_RATE) {
+      release();
+      failures.resetHolds();
+    }
+  }
+
+  private void quarantineAsHanging(long now) {
+    if (!quarantined || neededProbes <= 1) {
+      quarantine(now);
+    }
+    neededProbes = HANGING_PROBES;
+  }
+
   /** Quarantines the runner; the time doubles up to a maximum until a run succeeds. */
   void quarantine(long now) {
     quarantined = true;
     activeProbes = 0;
-    quarantineEndMillis =
-        now
-            + Math.min(
-                MAX_QUARANTINE_MILLIS, MIN_QUARANTINE_MILLIS << Math.min(quarantineCount, 10));
-    quarantineCount++;
+    neededProbes = Math.max(neededProbes, 1);
+    quarantineEndMillis = now + failures.nextHoldMillis();
   }
 
   /** Records that a run is assigned to the runner. Returns whether the run is a probe. */
@@ -79,17 +162,20 @@
   boolean releaseIfUnprobed(long now) {
     boolean unprobed =
         quarantined && activeProbes == 0 && now >= quarantineEndMillis + PROBE_WAIT_MILLIS;
-    quarantined &= !unprobed;
+    if (unprobed) {
+      release();
+    }
     return unprobed;
   }
 
-  /** Resets the rating for a new incarnation of the runner. */
-  void reset() {
-    failureRate = 0;
-    slowness = 1;
-    quarantineCount = 0;
-    quarantined = false;
-    activeProbes = 0;
+  /** Resets the rating for a new incarnation of the runner, which started before now. */
+  void reset(long now) {
+    failures.reset();
+    speed.reset();
+    faults.reset();
+    suspicions = 0;
+    release();
+    starts.recordStart(now);
   }
 
   /** Returns whether the runner may get runs; if it is quarantined, only one run as a probe. */
@@ -101,8 +187,23 @@
     return quarantined;
   }
 
+  /** Returns whether the runner restarts so often that it should only get short work. */
+  boolean isFlapping(long now) {
+    return starts.isFlapping(now);
+  }
+
+  /** Returns the share of runs that hang here, given the share on all runners. */
+  double faultRate(double averageRate) {
+    return faults.rate(averageRate);
+  }
+
+  /** Returns how many times as likely as on an average runner a run hangs here. */
+  double faultFactor(double averageRate) {
+    return faults.factor(averageRate);
+  }
+
   /** Returns a cost for choosing among runners: 1 for a healthy runner of normal speed. */
   double cost() {
-    return slowness * (1 + 2 * failureRate);
+    return speed.median() * (1 + 2 * failures.rate() + HANG_COST * faults.rate(0));
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
@@ -75,7 +75,7 @@
     }
     r.incarnation = incarnation;
     r.lastEndNumber = 0;
-    r.health.reset();
+    r.health.reset(cell.now);
   }
 
   private void handleEnd(Runner r, End e) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/Task.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Task.java
@@ -13,6 +13,12 @@
   /** How often this owner stopped its runs, or those of its gang, as stuck. */
   int stuckCount;
 
+  /**
+   * The runs that were stopped as stuck first, until the task is done; null if there are none. Of a
+   * gang, only the first task has them.
+   */
+  HealthRecorder.Suspects suspects;
+
   boolean done;
 
   /** Checkpoint from which the next run continues, empty for none. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
@@ -1,8 +1,8 @@
 package dev.dandelionport.core.workflow;
 
+import dev.dandelionport.core.health.RestartDecision;
 import dev.dandelionport.core.workflow.Run.Phase;
 import dev.dandelionport.core.workflow.Run.Stop;
-import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -11,12 +11,6 @@
 /** Periodically checks for conditions that no message reports: stuck runs and incomplete gangs. */
 final class Watchdog {
 
-  /** Multiple of the long run time of its queue that a run may take before it counts as stuck. */
-  private static final double QUEUE_FACTOR = 1.3;
-
-  /** Multiple of the longest run of the same step that a run may take. */
-  private static final double STEP_FACTOR = 2.2;
-
   /** Number of checkpoint intervals that may pass without a new checkpoint. */
   private static final double CHECKPOINT_FACTOR = 2;
 
@@ -29,24 +23,28 @@
   /** Minimum time that a run may take if there is no other reference, in milliseconds. */
   private static final double MIN_LIMIT_MILLIS = 10_000;
 
-  /** Maximum number of times that the limits double for a task that was stopped as stuck. */
-  private static final int MAX_DOUBLINGS = 10;
-
-  /** Time added to each of these limits, in milliseconds. */
-  private static final long GRACE_MILLIS = 600;
+  /** Multiple of this time that a run may take where most conspicuous runs are long tasks. */
+  private static final double ROUGH_FACTOR = 4;
 
   /** Time at work after which a run that lasts is no longer a probe, in milliseconds. */
   private static final long LASTING_PROBE_MILLIS = 2_000;
 
   private final CellState cell;
   private final RunLifecycle runs;
+  private final HealthRecorder health;
   private final GangPlacement gangs;
   private final AdviceTracker advice;
   private final Set<Workflow> recurring = new LinkedHashSet<>();
 
-  Watchdog(CellState cell, RunLifecycle runs, GangPlacement gangs, AdviceTracker advice) {
+  Watchdog(
+      CellState cell,
+      RunLifecycle runs,
+      HealthRecorder health,
+      GangPlacement gangs,
+      AdviceTracker advice) {
     this.cell = cell;
     this.runs = runs;
+    this.health = health;
     this.gangs = gangs;
     this.advice = advice;
   }
@@ -68,9 +66,7 @@
       prefetchAdvice(s);
     }
     for (Runner r : cell.runners.values()) {
-      if (r.health.releaseIfUnprobed(cell.now)) {
-        logQuarantine(r, false, "not probed");
-      }
+      health.releaseIfUnprobed(r);
       for (Run x : List.copyOf(r.runs)) {
         checkRun(x);
       }
@@ -107,16 +103,12 @@
     }
     String reason = s.spec.bestEffort() ? "" : stuckReason(x, s);
     if (!reason.isEmpty()) {
-      if (!s.spec.gang() && x.previousStuckCount == 0) {
-        // Otherwise the runner may not be at fault: a gang may wait for any of its members, and a
-        // task that was stuck on another runner before may simply be long.
-        x.runner.health.quarantine(cell.now);
-        logQuarantine(x.runner, true, reason);
-      }
+      final int faultPercent = (int) (100 * health.faultProbability(x));
+      health.recordStuck(x, reason);
       List<Task> tasks = s.spec.gang() ? s.tasks : List.of(x.task);
       tasks.forEach(t -> t.stuckCount = Math.max(t.stuckCount, x.previousStuckCount + 1));
       x.task.failedOn = x.runner.id();
-      runs.stop(x, Stop.STUCK, reason);
+      runs.stop(x, Stop.STUCK, reason, "faultPercent", faultPercent);
     }
   }
 
@@ -130,31 +122,28 @@
     }
   }
 
-  private void logQuarantine(Runner r, boolean quarantined, String cause) {
-    cell.log(Topic.RUNNER_HELD, "runner", r.id(), "held", quarantined, "cause", cause);
-  }
-
   private String stuckReason(Run x, Step s) {
     long runMillis = cell.now - x.startSentMillis;
-    long usualMillis = cell.runTimes.longRunMillis(s);
-    if (usualMillis > 0 && runMillis > limitMillis(x, QUEUE_FACTOR * usualMillis)) {
-      return "takes longer than runs of its queue";
-    }
-    if (s.longestRunMillis > 0 && runMillis > limitMillis(x, STEP_FACTOR * s.longestRunMillis)) {
-      return "takes longer than the other tasks of its step";
-    }
+    final boolean savesCheckpoints = s.spec.checkpoints() && !s.spec.gang();
     long idleMillis = cell.now - Math.max(x.confirmedMillis, x.checkpointMillis);
-    boolean savesCheckpoints = s.spec.checkpoints() && !s.spec.gang();
     if (savesCheckpoints
         && idleMillis
             > limitMillis(x, CHECKPOINT_FACTOR * cell.limits.checkpointIntervalMillis())) {
       return "saves no checkpoint";
     }
-    boolean hasReference = usualMillis > 0 || s.longestRunMillis > 0 || savesCheckpoints;
-    if (!hasReference
-        && runMillis
-            > limitMillis(
-                x, Math.max(MIN_LIMIT_MILLIS, ESTIMATE_FACTOR * s.spec.estimateMillis()))) {
+    RestartDecision limits = cell.runTimes.limits(s, x.previousStuckCount);
+    if (limits != null) {
+      // A run that saves checkpoints does not hang; at most, its runner is slow.
+      boolean progresses = savesCheckpoints && x.checkpointMillis > x.startSentMillis;
+      double fault = progresses ? 0 : health.faultProbability(x);
+      return limits.shouldStop(runMillis, fault)
+          ? "takes longer than runs of its queue or step"
+          : "";
+    }
+    double estimated =
+        limitMillis(x, Math.max(MIN_LIMIT_MILLIS, ESTIMATE_FACTOR * s.spec.estimateMillis()));
+    RestartDecision rough = new RestartDecision(estimated, ROUGH_FACTOR * estimated);
+    if (!savesCheckpoints && rough.shouldStop(runMillis, health.faultProbability(x))) {
       return "takes much longer than estimated";
     }
     return "";
@@ -165,6 +154,6 @@
    * before.
    */
   private static double limitMillis(Run x, double millis) {
-    return (millis + GRACE_MILLIS) * (1 << Math.min(MAX_DOUBLINGS, x.previousStuckCount));
+    return RunTimeStatistics.extendedLimit(millis, x.previousStuckCount);
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
@@ -32,6 +32,7 @@
     WAITING,
     ENDED,
     STOPPED,
+    STUCK_RESOLVED,
     CLOSED,
     RUNNER_HELD,
     RUNNER_REBORN,
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -38,13 +38,14 @@
   /** Creates a scheduler without workflows or runners. */
   public WorkflowScheduler(WorkflowLimits limits) {
     cell = new CellState(limits);
-    runs = new RunLifecycle(cell);
+    HealthRecorder health = new HealthRecorder(cell);
+    runs = new RunLifecycle(cell, health);
     advice = new AdviceTracker(cell);
     placement = new Placement(cell, runs, advice);
     advice.setPlacement(placement);
     reports = new RunnerReportHandler(cell, runs);
     starts = new StartHandler(cell, runs, reports, advice);
-    watchdog = new Watchdog(cell, runs, placement.gangs(), advice);
+    watchdog = new Watchdog(cell, runs, health, placement.gangs(), advice);
     waitLogger = new WaitLogger(cell, placement, advice);
     replay = new WorkflowReplay(cell, runs);
   }
--- a/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
@@ -13,8 +13,8 @@
 import java.util.TreeMap;
 
 /**
- * Simulates a cell of healthy runners in virtual time: workflows arrive by queue, and instances
- * handle one advice call at a time. Times are milliseconds since the start.
+ * Simulates a cell in virtual time: workflows arrive by queue, and instances handle one advice call
+ * at a time. Times are milliseconds since the start.
  */
 final class CellSimulation {
 
@@ -66,6 +66,9 @@
     }
   }
 
+  /** Time from which the queues have run times to compare with. */
+  private static final long WARM_UP_MILLIS = 10_000;
+
   /** An action at a time; actions at equal times run in the order in which they were added. */
   private record Event(long atMillis, long number, Runnable action) {}
 
@@ -81,6 +84,7 @@
     final WorkflowEffect.Start start;
     final long workedBeforeMillis;
     long workingSinceMillis = -1;
+    boolean hangs;
 
     ActiveRun(WorkflowEffect.Start start, long workedBeforeMillis) {
       this.start = start;
@@ -105,15 +109,33 @@
   private final Map<String, Submission> submissions = new TreeMap<>();
   private final Map<String, Long> completedMillis = new HashMap<>();
   private final Map<StepKey, List<ActiveRun>> gangs = new HashMap<>();
+  private final Map<String, Long> incarnations = new HashMap<>();
+  private final CellFaults faults;
+
+  /** What happened to the runs and runners. */
+  final RunCounts counts = new RunCounts(WARM_UP_MILLIS);
+
   private final long[] laneFreeMillis;
   private final ResourceVector usable;
   private long sequence;
   private long now;
 
-  /** Creates a cell; each instance handles one advice call at a time. */
+  /** Creates a cell of healthy runners; each instance handles one advice call at a time. */
   CellSimulation(
       List<QueueLoad> loads, int runners, ResourceVector capacity, int instances, long seed) {
+    this(loads, runners, capacity, instances, seed, CellFaults.NONE);
+  }
+
+  /** Creates a cell with faults. */
+  CellSimulation(
+      List<QueueLoad> loads,
+      int runners,
+      ResourceVector capacity,
+      int instances,
+      long seed,
+      CellFaults faults) {
     this.loads = loads;
+    this.faults = faults;
     this.seed = seed;
     random = new Random(seed);
     laneFreeMillis = new long[instances];
@@ -138,6 +160,24 @@
     }
     scheduler.setRunners(list);
     activeRuns.keySet().forEach(this::report);
+    for (String r : activeRuns.keySet()) {
+      if (faults.hangs(r)) {
+        counts.addFaultyRunner(r);
+      }
+      if (faults.flaps(r)) {
+        schedule(CellFaults.FLAP_MILLIS, () -> restart(r));
+      }
+    }
+  }
+
+  private void restart(String runner) {
+    List<ActiveRun> lost = List.copyOf(activeRuns.get(runner).values());
+    lost.forEach(a -> counts.addLost());
+    lost.forEach(a -> end(a, RunEnd.BROKEN));
+    unreportedEnds.get(runner).clear();
+    incarnations.merge(runner, 1L, Long::sum);
+    report(runner);
+    schedule(now + CellFaults.FLAP_MILLIS, () -> restart(runner));
   }
 
   private void schedule(long millis, Runnable action) {
@@ -227,7 +267,9 @@
   }
 
   private void carryOut(WorkflowEffect e) {
-    if (e instanceof WorkflowEffect.Start s) {
+    if (e instanceof WorkflowEffect.LogEntry l) {
+      counts.handle(l, now);
+    } else if (e instanceof WorkflowEffect.Start s) {
       schedule(now + START_MILLIS, () -> start(s));
     } else if (e instanceof WorkflowEffect.Stop s) {
       schedule(now + STOP_MILLIS, () -> stop(s));
@@ -271,6 +313,11 @@
             o -> {
               ActiveRun a =
                   new ActiveRun(s, o.checkpoint().isEmpty() ? 0 : Long.parseLong(o.checkpoint()));
+              a.hangs =
+                  faults.hangs(s.runner())
+                      && uniform(s.runner() + s.run() + s.task() + "hangs")
+                          < CellFaults.HANG_FRACTION;
+              counts.addStart(s, a.hangs, step(a).gang(), expectedMillis(a));
               activeRuns.get(s.runner()).put(s.task(), a);
               scheduler.handleStartResult(s.task(), s.run(), s.runner(), StartResult.PRESENT);
               handleStarted(a);
@@ -286,12 +333,15 @@
     }
     List<ActiveRun> members = gangs.computeIfAbsent(stepKey(a), k -> new ArrayList<>());
     members.add(a);
-    if (members.size() == step.tasks()) {
+    if (members.size() == step.tasks() && members.stream().noneMatch(m -> m.hangs)) {
       members.forEach(m -> startWork(m, workMillis(a)));
     }
   }
 
   private void startWork(ActiveRun a, double millis) {
+    if (a.hangs) {
+      return;
+    }
     a.workingSinceMillis = now;
     schedule(now + Math.max(1, (long) millis - a.workedBeforeMillis), () -> end(a, RunEnd.DONE));
   }
@@ -326,7 +376,9 @@
           savedIntervals == 0 ? "" : Long.toString(savedIntervals * CHECKPOINT_MILLIS);
       list.add(new RunnerReport.Running(a.start.task(), a.start.run(), checkpoint, 100, 0));
     }
-    scheduler.report(runner, new RunnerReport(1, now, list, unreportedEnds.get(runner), true), now);
+    long incarnation = incarnations.getOrDefault(runner, 1L);
+    scheduler.report(
+        runner, new RunnerReport(incarnation, now, list, unreportedEnds.get(runner), true), now);
     unreportedEnds.get(runner).clear();
   }
 
@@ -340,9 +392,18 @@
     return submissions.get(t.workflow()).spec().steps().get(t.step());
   }
 
+  /** Returns the time of the run or the mean of its queue, whichever is longer. */
+  private double expectedMillis(ActiveRun a) {
+    QueueLoad load = submissions.get(a.start.task().workflow()).load();
+    return Math.max(load.workMillis(), workMillis(a));
+  }
+
   private double workMillis(ActiveRun a) {
     TaskKey t = a.start.task();
-    return submissions.get(t.workflow()).sample().workMillis().get(t.step());
+    double millis = submissions.get(t.workflow()).sample().workMillis().get(t.step());
+    // A gang takes long as a whole, a single task by itself.
+    boolean isLong = uniform((step(a).gang() ? stepKey(a) : t) + "long") < faults.longFraction();
+    return millis * faults.factor(a.start.runner(), isLong);
   }
 
   /** Returns a number from 0 to 1 that depends only on the seed and a name. */
