Delay scheduling: wait for a local placement while it pays off

A task took the cheapest free runner at once even if a place on the rack of its data was about to become free, and a gang that prefers one rack waited 1.5 s in every case.

DelayDecision decides from the expected run time, the remote factor, the expected ends of runs on the rack, competing tasks, slack, fair share and tickets whether to place now or to wait until a deadline, which is stored on the step. delay-scheduling in bounds switches it off.

--- a/core/src/main/java/dev/dandelionport/core/workflow/CellLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/CellLoad.java
@@ -14,6 +14,7 @@
  *     reserved
  * @param accountsOverShare number of accounts that are over their fair share
  * @param passes counts of the placement passes since the previous load figures
+ * @param locality local and remote placements since the previous load figures
  * @param refused submissions refused by admission since the previous load figures
  * @param returning refused submissions that are expected to return
  */
@@ -25,6 +26,7 @@
     int coresUsedPercent,
     int accountsOverShare,
     PassCounts passes,
+    LocalityCounts locality,
     int refused,
     int returning) {
 
@@ -41,7 +43,8 @@
   public record RunnerCounts(
       int listed, int confirmed, int unresponsive, int quarantined, int draining, int unlisted) {}
 
-  static CellLoad of(CellState cell, PassCounts passes, int refused, int returning) {
+  static CellLoad of(
+      CellState cell, PassCounts passes, LocalityCounts locality, int refused, int returning) {
     Map<String, Integer> steps = new TreeMap<>();
     int tasks = 0;
     for (Step s : cell.ready) {
@@ -72,6 +75,7 @@
         percent,
         cell.shares.countOver(),
         passes,
+        locality,
         refused,
         returning);
   }
--- a/core/src/main/java/dev/dandelionport/core/workflow/GangPlacement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/GangPlacement.java
@@ -16,16 +16,18 @@
   private static final double REPLACE_FRACTION = 0.5;
 
   /**
-   * Time that a gang that prefers a single rack waits for one with enough capacity, in
-   * milliseconds.
+   * Time that a gang that prefers a single rack waits for one with enough capacity while delay
+   * scheduling is off, in milliseconds.
    */
   private static final long SAME_RACK_WAIT_MILLIS = 1_500;
 
   private final CellState cell;
   private final RunLifecycle runs;
   private final Placement placement;
+  private final LocalityWait locality;
 
-  GangPlacement(CellState cell, RunLifecycle runs, Placement placement) {
+  GangPlacement(CellState cell, RunLifecycle runs, Placement placement, LocalityWait locality) {
+    this.locality = locality;
     this.cell = cell;
     this.runs = runs;
     this.placement = placement;
@@ -57,7 +59,7 @@
     for (int i = 0; i < chosen.size(); i++) {
       runs.intendStart(tasks.get(i), chosen.get(i), runNumber);
     }
-    placement.logPlaced(s, chosen.size(), candidates.size());
+    placement.logPlaced(s, chosen, candidates.size());
   }
 
   /**
@@ -113,9 +115,13 @@
           return chosen;
         }
       }
-      if (cell.now - s.readyMillis < SAME_RACK_WAIT_MILLIS) {
-        return List.of();
+      if (!cell.limits.delayScheduling()) {
+        boolean waits = cell.now - s.readyMillis < SAME_RACK_WAIT_MILLIS;
+        return waits ? List.of() : assignTasks(s, q, candidates);
       }
+      List<Runner> spread = assignTasks(s, q, candidates);
+      boolean waits = !spread.isEmpty() && locality.mustGangWait(s, q, candidates, racks.values());
+      return waits ? List.of() : spread;
     }
     return assignTasks(s, q, candidates);
   }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -1,11 +1,13 @@
 package dev.dandelionport.core.workflow;
 
 import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.placement.DelayDecision.Situation;
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.ToLongFunction;
 
 /** Chooses runners for the waiting tasks of ready steps. */
 final class Placement {
@@ -53,6 +55,7 @@
   private final GangPlacement gangs;
   private final Preemption preemption;
   private final Headroom headroom;
+  private final LocalityWait locality;
   private final FreeCapacityBound freeCapacity;
 
   /** Number of the latest pass, counted from 1. */
@@ -60,11 +63,16 @@
 
   private PassCounts counts = PassCounts.NONE;
 
-  Placement(CellState cell, RunLifecycle runs, AdviceTracker advice) {
+  Placement(
+      CellState cell,
+      RunLifecycle runs,
+      AdviceTracker advice,
+      ToLongFunction<Situation> delayDecision) {
     this.cell = cell;
     this.runs = runs;
     this.advice = advice;
-    this.gangs = new GangPlacement(cell, runs, this);
+    this.locality = new LocalityWait(cell, this, delayDecision);
+    this.gangs = new GangPlacement(cell, runs, this, locality);
     this.preemption = new Preemption(cell, runs);
     this.headroom = new Headroom(cell, this::countRoom);
     this.freeCapacity = new FreeCapacityBound(cell, headroom);
@@ -74,6 +82,10 @@
     return gangs;
   }
 
+  LocalityWait locality() {
+    return locality;
+  }
+
   /**
    * Starts the tasks that fit. Steps are examined in order of rank up to a limit; the rest of the
    * pass goes to the remaining steps, least recently examined first. Steps that cannot start
@@ -297,36 +309,35 @@
 
   private void placeTasks(Step s, Queue q, List<Task> tasks, List<Runner> candidates) {
     int allowed = cell.tasksBelowCeiling(s);
-    int placed = 0;
+    List<Runner> chosen = new ArrayList<>();
     for (Task t : tasks) {
-      if (placed >= allowed) {
+      if (chosen.size() >= allowed) {
         break;
       }
       Runner r = cheapestRunner(s, q, t, candidates);
-      if (r == null) {
+      if (r == null || waitsForLocal(s, q, r, tasks.size() - chosen.size(), candidates)) {
         break;
       }
       runs.intendStart(t, r, t.lastRun + 1);
-      placed++;
+      chosen.add(r);
     }
-    if (placed > 0) {
-      logPlaced(s, placed, candidates.size());
+    if (!chosen.isEmpty()) {
+      logPlaced(s, chosen, candidates.size());
     }
   }
 
-  void logPlaced(Step s, int placed, int candidates) {
-    cell.log(
-        Topic.PLACED,
-        "step",
-        s.key.toString(),
-        "tasks",
-        placed,
-        "candidates",
-        candidates,
-        "waitedMillis",
-        cell.now - s.readyMillis,
-        "policy",
-        cell.policy.version());
+  /** Logs the runners that were chosen for tasks of a step, one for each task. */
+  void logPlaced(Step s, List<Runner> chosen, int candidates) {
+    List<Object> fields = new ArrayList<>();
+    WaitLogger.add(fields, "step", s.key.toString());
+    WaitLogger.add(fields, "tasks", chosen.size());
+    WaitLogger.add(fields, "candidates", candidates);
+    WaitLogger.add(fields, "waitedMillis", cell.now - s.readyMillis);
+    if (LocalityWait.prefersRack(s)) {
+      locality.addPlaced(s, chosen, fields);
+    }
+    WaitLogger.add(fields, "policy", cell.policy.version());
+    cell.log(Topic.PLACED, fields.toArray());
   }
 
   private Runner cheapestRunner(Step s, Queue q, Task t, List<Runner> candidates) {
@@ -344,6 +355,18 @@
     return best;
   }
 
+  /**
+   * Returns whether {@code waiting} tasks wait for a local place instead of the cheapest one. They
+   * do not if a local place is free but costs more, as on a slow runner.
+   */
+  private boolean waitsForLocal(
+      Step s, Queue q, Runner cheapest, int waiting, List<Runner> candidates) {
+    return !LocalityWait.isLocal(s, cheapest)
+        && candidates.stream()
+            .noneMatch(r -> LocalityWait.isLocal(s, r) && countFitting(r, s, q) > 0)
+        && locality.mustWait(s, q, waiting, candidates);
+  }
+
   /**
    * Returns the cost of placing a task of a step on a runner: higher for a slow or failing runner
    * and for one away from the step's data; free capacity also adds to it, but lowers it for
@@ -351,7 +374,7 @@
    */
   double cost(Step s, Runner r) {
     double cost = r.health.cost();
-    if (!s.spec.dataRack().isEmpty() && !r.description.labels().contains(s.spec.dataRack())) {
+    if (!LocalityWait.isLocal(s, r)) {
       cost *= cell.limits.remoteFactor();
     }
     ResourceVector c = r.description.capacity();
--- a/core/src/main/java/dev/dandelionport/core/workflow/Step.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Step.java
@@ -82,6 +82,17 @@
   /** When the gang's active run was placed, on the owner's monotonic clock. */
   long gangStartedMillis;
 
+  /**
+   * When its only wait for a local placement began, on the owner's monotonic clock; -1 if none has.
+   */
+  long localityWaitSinceMillis = -1;
+
+  /** When that wait ends, on the owner's monotonic clock; fixed when it begins. */
+  long localityWaitUntilMillis;
+
+  /** Number of tasks that take part in that wait and are not placed yet. */
+  int localityWaitTasks;
+
   Step(Workflow workflow, int occurrence, int number) {
     this.workflow = workflow;
     this.key = new StepKey(workflow.spec.id(), occurrence, number);
--- a/core/src/main/java/dev/dandelionport/core/workflow/WaitLogger.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WaitLogger.java
@@ -100,6 +100,9 @@
     if (q != null && q.advice().isPresent()) {
       add(fields, "allowedPercent", Math.round(100 * advice.allowedFraction(q)));
     }
+    if (LocalityWait.prefersRack(s)) {
+      add(fields, "localWaitLeftMillis", placement.locality().remainingMillis(s));
+    }
     capacity.addFields(fields);
     add(fields, "leftOut", omitted);
     cell.log(Topic.WAITING, fields.toArray());
@@ -146,6 +149,9 @@
 
   private WaitReason adviceReason(Step s, StepCapacity capacity, int needed) {
     if (capacity.fittingWithTicket() >= needed) {
+      if (placement.locality().remainingMillis(s) > 0) {
+        return WaitReason.LOCAL_PLACE;
+      }
       return WaitReason.STARTABLE;
     }
     if (s.pendingAdviceCalls > 0) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/WaitReason.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WaitReason.java
@@ -14,6 +14,7 @@
   ADVICE_PENDING("advice is under way"),
   NO_TICKET("allowed runners with room have no ticket"),
   ADVICE_NOT_REQUESTED("advice was not asked for yet"),
+  LOCAL_PLACE("a local place is expected soon"),
   STARTABLE("it fits and was not started");
 
   private final String text;
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowLimits.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowLimits.java
@@ -11,6 +11,8 @@
  * @param closedRetentionMillis time for which an ended workflow can still be queried
  * @param admissionControl whether submissions that certainly cannot be served are refused, in cells
  *     whose queues have a priority
+ * @param delayScheduling whether steps wait for a local placement while that is expected to pay
+ *     off; otherwise a gang waits a fixed time for a single rack and tasks do not wait
  */
 public record WorkflowLimits(
     long gangTimeoutMillis,
@@ -18,9 +20,10 @@
     double remoteFactor,
     long checkpointIntervalMillis,
     long closedRetentionMillis,
-    boolean admissionControl) {
+    boolean admissionControl,
+    boolean delayScheduling) {
 
-  /** Creates limits with admission control. */
+  /** Creates limits with admission control and delay scheduling. */
   public WorkflowLimits(
       long gangTimeoutMillis,
       long maxStopMillis,
@@ -33,6 +36,7 @@
         remoteFactor,
         checkpointIntervalMillis,
         closedRetentionMillis,
+        true,
         true);
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -1,6 +1,8 @@
 package dev.dandelionport.core.workflow;
 
 import dev.dandelionport.core.admission.Refusal;
+import dev.dandelionport.core.placement.DelayDecision;
+import dev.dandelionport.core.placement.DelayDecision.Situation;
 import dev.dandelionport.core.workflow.Run.Phase;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import dev.dandelionport.core.workflow.WorkflowRecord.Accepted;
@@ -12,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 
 /**
@@ -35,10 +38,15 @@
 
   /** Creates a scheduler without workflows or runners. */
   public WorkflowScheduler(WorkflowLimits limits) {
+    this(limits, DelayDecision::deadlineMillis);
+  }
+
+  /** Creates a scheduler with a decision about waits for a local placement. */
+  WorkflowScheduler(WorkflowLimits limits, ToLongFunction<Situation> delayDecision) {
     cell = new CellState(limits);
     runs = new RunLifecycle(cell);
     advice = new AdviceTracker(cell);
-    placement = new Placement(cell, runs, advice);
+    placement = new Placement(cell, runs, advice, delayDecision);
     advice.setPlacement(placement);
     reports = new RunnerReportHandler(cell, runs);
     starts = new StartHandler(cell, runs, reports, advice);
@@ -383,7 +391,11 @@
    */
   public CellLoad load() {
     return CellLoad.of(
-        cell, placement.takeCounts(), admission.takeRefused(), admission.returning());
+        cell,
+        placement.takeCounts(),
+        placement.locality().takeCounts(),
+        admission.takeRefused(),
+        admission.returning());
   }
 
   /** Removes workflows that ended longer ago than the retention time and have no runs left. */
--- a/core/src/test/java/dev/dandelionport/core/testing/StepSpecs.java
+++ b/core/src/test/java/dev/dandelionport/core/testing/StepSpecs.java
@@ -27,26 +27,36 @@
   /** Returns a step whose tasks run until their workflow is cancelled. */
   public static StepSpec longRunning(int tasks, ResourceVector size) {
     StepSpec s = plain(tasks, size, 400, List.of(), false);
-    return copy(s, false, 0, true, false);
+    return copy(s, false, "", 0, true, false);
   }
 
   /** Returns a copy of a step whose tasks only use processor time that others leave unused. */
   public static StepSpec bestEffort(StepSpec s) {
-    return copy(s, s.sameRack(), s.maxPerRunner(), s.longRunning(), true);
+    return copy(s, s.sameRack(), s.dataRack(), s.maxPerRunner(), s.longRunning(), true);
   }
 
   /** Returns a copy of a step restricted to one rack. */
   public static StepSpec onOneRack(StepSpec s) {
-    return copy(s, true, s.maxPerRunner(), s.longRunning(), s.bestEffort());
+    return copy(s, true, s.dataRack(), s.maxPerRunner(), s.longRunning(), s.bestEffort());
+  }
+
+  /** Returns a copy of a step whose data is on a rack. */
+  public static StepSpec withDataRack(StepSpec s, String rack) {
+    return copy(s, s.sameRack(), rack, s.maxPerRunner(), s.longRunning(), s.bestEffort());
   }
 
   /** Returns a copy of a step with a limit on its tasks per runner. */
   public static StepSpec limitedPerRunner(StepSpec s, int maxPerRunner) {
-    return copy(s, s.sameRack(), maxPerRunner, s.longRunning(), s.bestEffort());
+    return copy(s, s.sameRack(), s.dataRack(), maxPerRunner, s.longRunning(), s.bestEffort());
   }
 
   private static StepSpec copy(
-      StepSpec s, boolean oneRack, int maxPerRunner, boolean longRunning, boolean bestEffort) {
+      StepSpec s,
+      boolean oneRack,
+      String dataRack,
+      int maxPerRunner,
+      boolean longRunning,
+      boolean bestEffort) {
     return new StepSpec(
         s.tasks(),
         s.size(),
@@ -56,7 +66,7 @@
         s.gang(),
         oneRack,
         s.requiredLabel(),
-        s.dataRack(),
+        dataRack,
         maxPerRunner,
         s.speculative(),
         longRunning,
--- a/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
@@ -2,19 +2,25 @@
 
 import dev.dandelionport.core.admission.Refusal;
 import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.placement.DelayDecision;
+import dev.dandelionport.core.placement.DelayDecision.Situation;
+import dev.dandelionport.core.testing.StepSpecs;
 import dev.dandelionport.core.workflow.ClusterPolicy.Account;
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /**
  * Simulates a cell of healthy runners in virtual time: workflows arrive by queue, and instances
@@ -96,8 +102,23 @@
     }
   }
 
-  private final WorkflowScheduler scheduler =
-      new WorkflowScheduler(new WorkflowLimits(3_000, 200, 3, CHECKPOINT_MILLIS, 1_000_000));
+  /**
+   * Preferences for racks and the scheduler's handling of them.
+   *
+   * @param fraction fraction of the steps whose data is on a rack, or that are gangs for one rack
+   * @param remoteFactor factor by which tasks take longer elsewhere
+   * @param advice whether advice decides which runners a step may use; otherwise it may use all
+   * @param decision decision about waits for a local placement
+   */
+  record Locality(
+      double fraction, double remoteFactor, boolean advice, ToLongFunction<Situation> decision) {
+    static final Locality NONE = new Locality(0, 3, true, DelayDecision::deadlineMillis);
+  }
+
+  private static final int RUNNERS_PER_RACK = 8;
+
+  private final Locality locality;
+  private final WorkflowScheduler scheduler;
   private final List<QueueLoad> loads;
   private final Random random;
   private final long seed;
@@ -121,6 +142,17 @@
     this(loads, List.of(), runners, capacity, instances, seed);
   }
 
+  /** Creates a cell without accounts and with steps that prefer a rack. */
+  CellSimulation(
+      List<QueueLoad> loads,
+      int runners,
+      ResourceVector capacity,
+      int instances,
+      long seed,
+      Locality locality) {
+    this(loads, List.of(), runners, capacity, instances, seed, locality);
+  }
+
   /** Creates a cell whose workflows are submitted by accounts. */
   CellSimulation(
       List<QueueLoad> loads,
@@ -129,12 +161,28 @@
       ResourceVector capacity,
       int instances,
       long seed) {
+    this(loads, accounts, runners, capacity, instances, seed, Locality.NONE);
+  }
+
+  private CellSimulation(
+      List<QueueLoad> loads,
+      List<Account> accounts,
+      int runners,
+      ResourceVector capacity,
+      int instances,
+      long seed,
+      Locality locality) {
+    this.locality = locality;
+    scheduler =
+        new WorkflowScheduler(
+            new WorkflowLimits(3_000, 200, locality.remoteFactor(), CHECKPOINT_MILLIS, 1_000_000),
+            locality.decision());
     this.loads = loads;
     this.seed = seed;
     random = new Random(seed);
     laneFreeMillis = new long[instances];
     Map<String, Queue> queues = new HashMap<>();
-    loads.forEach(l -> queues.put(l.name(), l.queue()));
+    loads.forEach(l -> queues.put(l.name(), l.queue(locality.advice())));
     usable =
         new ResourceVector(
             0,
@@ -151,7 +199,7 @@
       String id = String.format("r%03d", i);
       activeRuns.put(id, new HashMap<>());
       unreportedEnds.put(id, new ArrayList<>());
-      List<String> labels = List.of("kind", "rack" + i / 8);
+      List<String> labels = List.of("kind", rackOf(id));
       list.add(new RunnerDescription(id, 1, "svc", id, "fd" + i % 3, capacity, labels, false));
     }
     scheduler.setRunners(list);
@@ -174,7 +222,7 @@
       double t = from - gap * Math.log(1 - random.nextDouble());
       for (; t < until; t -= gap * Math.log(1 - random.nextDouble())) {
         String id = String.format("%016x", sequence);
-        QueueLoad.Sample d = sampleFitting(id, l);
+        QueueLoad.Sample d = withRacks(id, sampleFitting(id, l));
         WorkflowSpec spec =
             new WorkflowSpec(id, l.name(), account, "", d.steps(), Recurrence.ONCE, false);
         submissions.put(id, new Submission(spec, d, l, (long) t));
@@ -195,6 +243,11 @@
     }
   }
 
+  /** Returns the counts of local and remote placements. */
+  LocalityCounts takeLocalityCounts() {
+    return scheduler.load().locality();
+  }
+
   /** Returns the number of refused submissions. */
   int refusals() {
     return refusals;
@@ -223,6 +276,36 @@
     }
   }
 
+  /** Returns the rack of a runner, whose id ends with its number. */
+  private static String rackOf(String runner) {
+    return "rack" + Integer.parseInt(runner.substring(1)) / RUNNERS_PER_RACK;
+  }
+
+  /** Gives some steps a data rack, or the preference for one rack if they are gangs. */
+  private QueueLoad.Sample withRacks(String id, QueueLoad.Sample d) {
+    List<StepSpec> steps = new ArrayList<>();
+    List<String> runners = List.copyOf(activeRuns.keySet());
+    for (StepSpec s : d.steps()) {
+      String name = id + "rack" + steps.size();
+      String rack = rackOf(runners.get((int) (uniform(name + "x") * runners.size())));
+      boolean prefersRack = uniform(name) < locality.fraction();
+      StepSpec preferring = s.gang() ? StepSpecs.onOneRack(s) : StepSpecs.withDataRack(s, rack);
+      steps.add(prefersRack ? preferring : s);
+    }
+    return new QueueLoad.Sample(steps, d.workMillis());
+  }
+
+  /** Returns the factor by which a task takes longer on one of the runners of its step. */
+  private double slowdown(StepSpec s, List<ActiveRun> runs) {
+    Set<String> racks = new HashSet<>();
+    runs.forEach(r -> racks.add(rackOf(r.start.runner())));
+    boolean isLocal =
+        s.gang()
+            ? !s.sameRack() || racks.size() == 1
+            : s.dataRack().isEmpty() || racks.contains(s.dataRack());
+    return isLocal ? 1 : locality.remoteFactor();
+  }
+
   private boolean isAllowed(StepKey step, String runner, QueueLoad l) {
     return uniform(step + runner) < l.allowedFraction();
   }
@@ -321,13 +404,14 @@
     StepSpec step = step(a);
     if (!step.gang()) {
       // The sampled time is that of the step's longest task; the others take 70 to 100 % of it.
-      startWork(a, workMillis(a) * (0.7 + 0.3 * uniform(a.start.task().toString())));
+      double fraction = 0.7 + 0.3 * uniform(a.start.task().toString());
+      startWork(a, workMillis(a) * slowdown(step, List.of(a)) * fraction);
       return;
     }
     List<ActiveRun> members = gangs.computeIfAbsent(stepKey(a), k -> new ArrayList<>());
     members.add(a);
     if (members.size() == step.tasks()) {
-      members.forEach(m -> startWork(m, workMillis(a)));
+      members.forEach(m -> startWork(m, workMillis(a) * slowdown(step, members)));
     }
   }
 
--- a/core/src/test/java/dev/dandelionport/core/workflow/QueueLoad.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/QueueLoad.java
@@ -68,7 +68,8 @@
   /** The steps of a workflow and the actual run time of the tasks of each step. */
   record Sample(List<StepSpec> steps, List<Double> workMillis) {}
 
-  Queue queue() {
+  /** Returns the queue, whose steps may use all runners if it needs no advice. */
+  Queue queue(boolean needsAdvice) {
     return new Queue(
         name,
         "host",
@@ -79,7 +80,7 @@
         "svc",
         5,
         slackFactor,
-        Optional.of(advice),
+        needsAdvice ? Optional.of(advice) : Optional.empty(),
         false);
   }
 
