Delay scheduling: count capacity while other work waits

At full load a remote run takes capacity for which other work waits, so a wait for any local place pays off then.

--- a/core/src/main/java/dev/dandelionport/core/placement/DelayDecision.java
+++ b/core/src/main/java/dev/dandelionport/core/placement/DelayDecision.java
@@ -9,12 +9,6 @@
  */
 public final class DelayDecision {
 
-  /**
-   * Part of the longest useful wait within which a local place must be expected. Less than 1,
-   * because expected ends of runs are rough: run times spread by a factor of about 1.6.
-   */
-  private static final double MAX_EXPECTED_FRACTION = 0.6;
-
   /**
    * Part of the expected run time that must remain as slack before an urgent step may wait. Urgent
    * steps have little slack, and their estimates are off by as much.
@@ -39,6 +33,7 @@
    * @param overFairShare whether its account is over its fair share
    * @param competing number of waiting tasks of other steps that want the same places
    * @param ticketUntilMillis until when a ticket for a possible remote placement is usable
+   * @param contended whether other work waits for more capacity than is free
    */
   public record Situation(
       long nowMillis,
@@ -51,7 +46,8 @@
       boolean urgent,
       boolean overFairShare,
       int competing,
-      long ticketUntilMillis) {
+      long ticketUntilMillis,
+      boolean contended) {
 
     /** Copies the list. */
     public Situation {
@@ -64,22 +60,25 @@
   }
 
   /**
-   * Returns until when all the tasks wait for local places; the current time if they are placed at
+   * Returns until when the tasks wait for local places; the current time if they are placed at
    * once. Capacity that waiting tasks leave free goes to other steps, so that a wait costs only its
-   * own step.
+   * own step. While other work waits for capacity, a wait pays off for each task that gets a local
+   * place, since a remote run takes capacity for longer; otherwise only if the step ends earlier.
    */
   public static long deadlineMillis(Situation s) {
-    int expected = s.localMillis().size();
-    if (expected < s.tasks()
+    List<Long> places = s.localMillis();
+    if (places.isEmpty()
         || s.urgent() && isNearlyDue(s)
         || s.overFairShare() && s.competing() > 0) {
       return s.nowMillis();
     }
-    long deadline = Math.max(s.nowMillis(), latestUsefulMillis(s));
-    long lastLocalMillis = s.localMillis().get(s.tasks() - 1);
-    double maxExpected = MAX_EXPECTED_FRACTION * (deadline - s.nowMillis());
+    long deadline = latestUsefulMillis(s);
     boolean paysOff =
-        lastLocalMillis - s.nowMillis() <= maxExpected && gainMillis(s, lastLocalMillis) > 0;
+        s.contended()
+            ? places.get(0) < deadline
+            : places.size() >= s.tasks()
+                && places.get(s.tasks() - 1) < deadline
+                && gainMillis(s, places.get(s.tasks() - 1)) > 0;
     return paysOff ? deadline : s.nowMillis();
   }
 
