--- a/core/src/main/java/dev/dandelionport/core/placement/DelayDecision.java
+++ b/core/src/main/java/dev/dandelionport/core/placement/DelayDecision.java
@@ -33,7 +33,6 @@
    * @param overFairShare whether its account is over its fair share
    * @param competing number of waiting tasks of other steps that want the same places
    * @param ticketUntilMillis until when a ticket for a possible remote placement is usable
-   * @param contended whether other work waits for more capacity than is free
    */
   public record Situation(
       long nowMillis,
@@ -46,8 +45,7 @@
       boolean urgent,
       boolean overFairShare,
       int competing,
-      long ticketUntilMillis,
-      boolean contended) {
+      long ticketUntilMillis) {
 
     /** Copies the list. */
     public Situation {
@@ -60,25 +58,19 @@
   }
 
   /**
-   * Returns until when the tasks wait for local places; the current time if they are placed at
+   * Returns until when all the tasks wait for local places; the current time if they are placed at
    * once. Capacity that waiting tasks leave free goes to other steps, so that a wait costs only its
-   * own step. While other work waits for capacity, a wait pays off for each task that gets a local
-   * place, since a remote run takes capacity for longer; otherwise only if the step ends earlier.
+   * own step.
    */
   public static long deadlineMillis(Situation s) {
-    List<Long> places = s.localMillis();
-    if (places.isEmpty()
+    if (s.localMillis().size() < s.tasks()
         || s.urgent() && isNearlyDue(s)
         || s.overFairShare() && s.competing() > 0) {
       return s.nowMillis();
     }
     long deadline = latestUsefulMillis(s);
-    boolean paysOff =
-        s.contended()
-            ? places.get(0) < deadline
-            : places.size() >= s.tasks()
-                && places.get(s.tasks() - 1) < deadline
-                && gainMillis(s, places.get(s.tasks() - 1)) > 0;
+    long lastLocalMillis = s.localMillis().get(s.tasks() - 1);
+    boolean paysOff = lastLocalMillis < deadline && gainMillis(s, lastLocalMillis) > 0;
     return paysOff ? deadline : s.nowMillis();
   }
 
--- a/core/src/main/java/dev/dandelionport/core/workflow/LocalityWait.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/LocalityWait.java
@@ -140,8 +140,7 @@
             q.priority() == 0,
             cell.shares.isOver(s),
             competing,
-            ticketUntilMillis(s, q, candidates),
-            isContended(s));
+            ticketUntilMillis(s, q, candidates));
     long deadlineMillis = decision.applyAsLong(situation);
     if (deadlineMillis > cell.now) {
       s.localityWaitSinceMillis = cell.now;
@@ -219,18 +218,4 @@
     }
     return until - TICKET_MARGIN_MILLIS;
   }
-
-  /** Returns whether the waiting tasks of other steps need more processor time than is free. */
-  private boolean isContended(Step s) {
-    long free = 0;
-    for (Runner r : cell.runners.values()) {
-      free += r.listed ? Math.max(0, r.free().milliCores()) : 0;
-    }
-    for (Step o : cell.ready) {
-      if (o != s && free >= 0) {
-        free -= o.countWaiting() * o.spec.reserved().milliCores();
-      }
-    }
-    return free < 0;
-  }
 }
