WAITING always shows the time left of a wait for a local place

WaitLoggerTest lists the fields of every entry, so a field only of steps that prefer a rack failed it. WaitLoggerTest, OwnerLoadTest, LocalityWaitTest, DelayDecisionTest and ExpectedPlacesTest pass.

--- a/core/src/main/java/dev/dandelionport/core/workflow/WaitLogger.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WaitLogger.java
@@ -100,9 +100,7 @@
     if (q != null && q.advice().isPresent()) {
       add(fields, "allowedPercent", Math.round(100 * advice.allowedFraction(q)));
     }
-    if (LocalityWait.prefersRack(s)) {
-      add(fields, "localWaitLeftMillis", placement.locality().remainingMillis(s));
-    }
+    add(fields, "localWaitLeftMillis", placement.locality().remainingMillis(s));
     capacity.addFields(fields);
     add(fields, "leftOut", omitted);
     cell.log(Topic.WAITING, fields.toArray());
--- a/core/src/test/java/dev/dandelionport/core/placement/DelayDecisionTest.java
+++ b/core/src/test/java/dev/dandelionport/core/placement/DelayDecisionTest.java
@@ -49,7 +49,7 @@
 
   // Guards against a wait that ends before or after the time at which a remote run costs as much.
   @Test
-  void waitsAtMostAsLongAsARemoteRunCosts() {
+  void waitsAtMostAsLongAsRemoteRunCosts() {
     assertThat(decide(step(1, NOW + 300))).isEqualTo(NOW + 2_000);
   }
 
@@ -79,7 +79,7 @@
 
   // Guards against a wait that makes a step late that could be in time elsewhere.
   @Test
-  void waitEndsWhileARemoteRunIsStillInTime() {
+  void waitEndsWhileRemoteRunIsStillInTime() {
     Situation s = step(1, NOW + 300);
     assertThat(decide(dueAt(s, NOW + 5_000, false))).isEqualTo(NOW + 1_000);
     assertThat(decide(dueAt(s, NOW + 4_100, false))).isEqualTo(NOW);
@@ -87,7 +87,7 @@
 
   // Guards against a remote run that is certainly late while a local one may be in time.
   @Test
-  void waitsUntilLatestLocalStartIfARemoteRunIsLate() {
+  void waitsUntilLatestLocalStartIfRemoteRunIsLate() {
     assertThat(decide(dueAt(step(1, NOW + 300), NOW + 2_800, false))).isEqualTo(NOW + 800);
   }
 
--- a/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
@@ -481,11 +481,6 @@
     return outcome(a -> a.load().name().equals(queue), from, until);
   }
 
-  /** Returns the outcome of an account's workflows that were submitted in a period. */
-  Outcome outcomeOfAccount(String account, long from, long until) {
-    return outcome(a -> a.spec().account().equals(account), from, until);
-  }
-
   private Outcome outcome(Predicate<Submission> filter, long from, long until) {
     Outcome sum = Outcome.NONE;
     for (Submission a : submissions.values()) {
@@ -506,4 +501,9 @@
     }
     return sum;
   }
+
+  /** Returns the outcome of an account's workflows that were submitted in a period. */
+  Outcome outcomeOfAccount(String account, long from, long until) {
+    return outcome(a -> a.spec().account().equals(account), from, until);
+  }
 }
--- a/core/src/test/java/dev/dandelionport/core/workflow/LocalityWaitTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/LocalityWaitTest.java
@@ -136,7 +136,7 @@
 
   // Guards against a wait that holds up steps that prefer no rack, or begins without a gain.
   @Test
-  void othersArePlacedWhileAStepWaits() {
+  void othersArePlacedWhileStepWaits() {
     Cell c = cellWithFullRack(true);
     assertThat(c.submit("second", onRack("rack-r1", 1_000))).isEmpty();
     assertThat(c.submit("third", StepSpecs.of(1, TASK, 1_000))).containsExactly("r2");
@@ -152,7 +152,7 @@
 
   // Guards against a change for cells that switch the decision off.
   @Test
-  void tasksNeverWaitAndGangsWaitAFixedTimeIfSwitchedOff() {
+  void tasksNeverWaitAndGangsWaitFixedTimeIfSwitchedOff() {
     Cell c = cellWithFullRack(false);
     assertThat(c.submit("second", onRack("rack-r1", 1_000))).containsExactly("r2");
     Cell d = new Cell(false);
@@ -171,7 +171,7 @@
 
   // Guards against a gang spread over racks shortly before it fits in one.
   @Test
-  void gangWaitsForARackThatIsFreeSoon() {
+  void gangWaitsForRackThatIsFreeSoon() {
     Cell c = new Cell(true);
     ResourceVector half = new ResourceVector(0, 0, 8_000, 100, 0);
     assertThat(c.submit("first", StepSpecs.of(1, half, 300))).containsExactly("r1");
