--- a/core/src/test/java/dev/dandelionport/core/workflow/StragglerTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/StragglerTest.java
@@ -90,8 +90,7 @@
 
   private void simulate(CellFaults faults) {
     for (int seed = 1; seed <= SEEDS; seed++) {
-      CellSimulation c =
-          new CellSimulation(LOADS, List.of(), RUNNERS, CAPACITY, INSTANCES, seed, faults);
+      CellSimulation c = new CellSimulation(LOADS, RUNNERS, CAPACITY, INSTANCES, seed, faults);
       c.arrivals(0, ARRIVALS_END_MILLIS, LOAD);
       c.run(END_MILLIS, 0, 0);
       counts.add(c.counts);
