--- a/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
@@ -82,21 +82,6 @@
     return refuse(c, storeContact.get(), reason, retryMillis);
   }
 
-  /**
-   * Returns the answer in place of any refusal if this process may no longer be the owner, because
-   * the next owner may have accepted the id; empty if it certainly is the owner.
-   */
-  Optional<WorkflowAnswer> unsureOwnerAnswer() {
-    return unsureOwnerAnswer(storeContact.get());
-  }
-
-  private static Optional<WorkflowAnswer> unsureOwnerAnswer(StoreContact contact) {
-    return contact.isOwnershipCertain()
-        ? Optional.empty()
-        : Optional.of(
-            new WorkflowAnswer(WorkflowStatus.NOT_OWNER, null, 0, UNSURE_OWNER_RETRY_MILLIS));
-  }
-
   /**
    * Returns a refusal if this process certainly is the owner. Otherwise the next owner may have
    * accepted the id, so the answer is "not the owner", and the caller's instance tries again.
@@ -123,4 +108,19 @@
                 false));
     return new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, retryMillis);
   }
+
+  /**
+   * Returns the answer in place of any refusal if this process may no longer be the owner, because
+   * the next owner may have accepted the id; empty if it certainly is the owner.
+   */
+  Optional<WorkflowAnswer> unsureOwnerAnswer() {
+    return unsureOwnerAnswer(storeContact.get());
+  }
+
+  private static Optional<WorkflowAnswer> unsureOwnerAnswer(StoreContact contact) {
+    return contact.isOwnershipCertain()
+        ? Optional.empty()
+        : Optional.of(
+            new WorkflowAnswer(WorkflowStatus.NOT_OWNER, null, 0, UNSURE_OWNER_RETRY_MILLIS));
+  }
 }
