--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -9,7 +9,6 @@
 import dev.dandelionport.core.workflow.WorkflowRecord.PolicyApplied;
 import dev.dandelionport.core.workflow.WorkflowRecord.Removed;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,6 +33,7 @@
   private final WaitLogger waitLogger;
   private final WorkflowReplay replay;
   private final SubmissionAdmission admission;
+  private final RunnerDirectory runnerDirectory;
   private final SubmissionRates submissionRates;
 
   /** Creates a scheduler without workflows or runners. */
@@ -54,6 +54,7 @@
     watchdog = new Watchdog(cell, runs, health, placement.gangs(), advice);
     waitLogger = new WaitLogger(cell, placement, advice);
     replay = new WorkflowReplay(cell, runs);
+    runnerDirectory = new RunnerDirectory(cell);
     submissionRates = new SubmissionRates(cell);
     admission = new SubmissionAdmission(cell, placement::freeFor, submissionRates);
   }
@@ -236,32 +237,7 @@
    */
   public void setRunners(List<RunnerDescription> list) {
     admission.setRunners(list);
-    Set<String> ids = new HashSet<>();
-    for (RunnerDescription d : list) {
-      ids.add(d.id());
-      Runner r = cell.runners.get(d.id());
-      if (r == null) {
-        r = new Runner(d);
-        cell.runners.put(d.id(), r);
-        cell.log(Topic.RUNNER_LISTED, "runner", d.id(), "domain", d.failureDomain());
-      }
-      if (d.draining() && !r.description.draining()) {
-        cell.log(Topic.RUNNER_GONE, "runner", d.id(), "why", "draining");
-      }
-      r.description = d;
-      r.listed = true;
-    }
-    for (Runner r : List.copyOf(cell.runners.values())) {
-      if (!ids.contains(r.id())) {
-        if (r.listed) {
-          cell.log(Topic.RUNNER_GONE, "runner", r.id(), "why", "not listed");
-        }
-        r.listed = false;
-        if (r.runs.isEmpty()) {
-          cell.runners.remove(r.id());
-        }
-      }
-    }
+    runnerDirectory.replace(list);
   }
 
   /** Handles the report of a runner; {@code sentMillis} is when the call was sent. */
