--- a/core/src/main/java/dev/dandelionport/core/workflow/AccountShares.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AccountShares.java
@@ -61,9 +61,12 @@
     nextRefreshMillis = cell.now;
   }
 
-  /** Compares the accounts anew if the last comparison is old enough. */
+  /**
+   * Compares the accounts anew if the last comparison is old enough. Without fair shares no account
+   * is ever over its share.
+   */
   void refresh() {
-    if (cell.now < nextRefreshMillis) {
+    if (!cell.limits.fairShares() || cell.now < nextRefreshMillis) {
       return;
     }
     nextRefreshMillis = cell.now + REFRESH_MILLIS;
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowLimits.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowLimits.java
@@ -13,6 +13,8 @@
  *     whose queues have a priority
  * @param delayScheduling whether steps wait for a local placement while that is expected to pay
  *     off; otherwise a gang waits a fixed time for a single rack and tasks do not wait
+ * @param fairShares whether what accounts use is compared with their fair shares; otherwise only
+ *     the rate of their submissions counts
  */
 public record WorkflowLimits(
     long gangTimeoutMillis,
@@ -21,9 +23,10 @@
     long checkpointIntervalMillis,
     long closedRetentionMillis,
     boolean admissionControl,
-    boolean delayScheduling) {
+    boolean delayScheduling,
+    boolean fairShares) {
 
-  /** Creates limits with admission control and delay scheduling. */
+  /** Creates limits with admission control, delay scheduling and fair shares. */
   public WorkflowLimits(
       long gangTimeoutMillis,
       long maxStopMillis,
@@ -37,6 +40,7 @@
         checkpointIntervalMillis,
         closedRetentionMillis,
         true,
+        true,
         true);
   }
 }
--- a/core/src/test/java/dev/dandelionport/core/workflow/LocalityWaitTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/LocalityWaitTest.java
@@ -28,7 +28,7 @@
     Cell(boolean delayScheduling) {
       scheduler =
           new WorkflowScheduler(
-              new WorkflowLimits(3_000, 200, 3, 2_000, 120_000, true, delayScheduling));
+              new WorkflowLimits(3_000, 200, 3, 2_000, 120_000, true, delayScheduling, true));
       scheduler.setTime(now, now);
       Queue batch =
           new Queue("batch", "host", "/", 3_000, 9_000, 2, "svc", 3, 4, Optional.empty(), false);
