--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLoad.java
@@ -104,6 +104,7 @@
       "waitingTasks", cell.waitingTasks(),
       "runs", cell.runs().toString(),
       "coresUsedPercent", cell.coresUsedPercent(),
+      "accountsOverShare", cell.accountsOverShare(),
       "listed", runners.listed(),
       "answered", runners.confirmed(),
       "silent", runners.unresponsive(),
@@ -116,6 +117,10 @@
       "looked", cell.passes().examinedSteps(),
       "cutOff", cell.passes().skippedSteps(),
       "cutOffMost", cell.passes().maxSkippedSteps(),
+      "placedLocal", cell.locality().local(),
+      "placedRemote", cell.locality().remote(),
+      "localWaits", cell.locality().waits(),
+      "localWaitMillis", cell.locality().waitedMillis(),
       "journalBatches", journal.batches(),
       "journalRecords", journal.records(),
       "journalOldestMillis", journal.oldestMillis(),
@@ -129,6 +134,8 @@
       "adviceFree", advice.free(),
       "adviceFailed", advice.failed(),
       "early", queuedCalls,
+      "refused", cell.refused(),
+      "returning", cell.returning(),
       "lagMaxMillis", timerLags.maxMillis(),
       "lagMeanMillis", timerLags.meanMillis()
     };
--- a/core/src/main/java/dev/dandelionport/core/message/PeerMessage.java
+++ b/core/src/main/java/dev/dandelionport/core/message/PeerMessage.java
@@ -145,9 +145,22 @@
    * @param path path in the caller's request
    * @param key API key, empty for none
    * @param body encoded workflow of a submission, otherwise empty
+   * @param waitMillis time for which the sender waits for the answer, in milliseconds; 0 if unknown
    */
-  record WorkflowCall(WorkflowCallKind kind, String host, String path, String key, byte[] body)
-      implements PeerMessage {}
+  record WorkflowCall(
+      WorkflowCallKind kind, String host, String path, String key, byte[] body, long waitMillis)
+      implements PeerMessage {
+
+    /** Creates a call whose sender does not tell how long it waits. */
+    public WorkflowCall(WorkflowCallKind kind, String host, String path, String key, byte[] body) {
+      this(kind, host, path, key, body, 0);
+    }
+
+    /** Returns the same call of a sender that waits for the given time. */
+    public WorkflowCall withWait(long millis) {
+      return new WorkflowCall(kind, host, path, key, body, millis);
+    }
+  }
 
   /**
    * Answers a {@link WorkflowCall}.
@@ -156,10 +169,20 @@
    * @param state state of the workflow, or null if the answer has none
    * @param pending number of waiting workflows
    * @param retryMillis time after which a refused caller should retry, in milliseconds
+   * @param overShare whether it is refused only because its account is over its fair share; a field
+   *     and not a status of its own, because a process that does not know it must be able to read
+   *     the refusal
    */
-  record WorkflowAnswer(WorkflowStatus status, WorkflowState state, int pending, long retryMillis)
+  record WorkflowAnswer(
+      WorkflowStatus status, WorkflowState state, int pending, long retryMillis, boolean overShare)
       implements PeerMessage {
 
+    /** Creates an answer that is no refusal for an account's share. */
+    public WorkflowAnswer(
+        WorkflowStatus status, WorkflowState state, int pending, long retryMillis) {
+      this(status, state, pending, retryMillis, false);
+    }
+
     /** Creates an answer with a status only. */
     public static WorkflowAnswer of(WorkflowStatus status) {
       return new WorkflowAnswer(status, null, 0, 0);
--- a/core/src/main/java/dev/dandelionport/core/workflow/CellLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/CellLoad.java
@@ -12,7 +12,11 @@
  * @param runners number of runners by state
  * @param coresUsedPercent percentage of the listed runners' processor capacity that runs have
  *     reserved
+ * @param accountsOverShare number of accounts that are over their fair share
  * @param passes counts of the placement passes since the previous load figures
+ * @param locality local and remote placements since the previous load figures
+ * @param refused submissions refused by admission since the previous load figures
+ * @param returning refused submissions that are expected to return
  */
 public record CellLoad(
     Map<String, Integer> waitingSteps,
@@ -20,7 +24,11 @@
     Map<String, Integer> runs,
     RunnerCounts runners,
     int coresUsedPercent,
-    PassCounts passes) {
+    int accountsOverShare,
+    PassCounts passes,
+    LocalityCounts locality,
+    int refused,
+    int returning) {
 
   /**
    * Number of runners in each state; a runner may be in several.
@@ -35,7 +43,8 @@
   public record RunnerCounts(
       int listed, int confirmed, int unresponsive, int quarantined, int draining, int unlisted) {}
 
-  static CellLoad of(CellState cell, PassCounts passes) {
+  static CellLoad of(
+      CellState cell, PassCounts passes, LocalityCounts locality, int refused, int returning) {
     Map<String, Integer> steps = new TreeMap<>();
     int tasks = 0;
     for (Step s : cell.ready) {
@@ -58,7 +67,17 @@
       }
     }
     int percent = (int) (100 * used / Math.max(1, capacity));
-    return new CellLoad(steps, tasks, runs, count(cell), percent, passes);
+    return new CellLoad(
+        steps,
+        tasks,
+        runs,
+        count(cell),
+        percent,
+        cell.shares.countOver(),
+        passes,
+        locality,
+        refused,
+        returning);
   }
 
   private static RunnerCounts count(CellState cell) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -1,11 +1,13 @@
 package dev.dandelionport.core.workflow;
 
 import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.placement.DelayDecision.Situation;
 import dev.dandelionport.core.workflow.ClusterPolicy.Queue;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.ToLongFunction;
 
 /** Chooses runners for the waiting tasks of ready steps. */
 final class Placement {
@@ -20,8 +22,8 @@
   private static final int MAX_STEPS_IN_ORDER = 150;
 
   /**
-   * Ranks of steps: in time, late, beyond the account's weight, too late for the result to be of
-   * use.
+   * Ranks of steps: in time, late, beyond the rate and the fair share of the account, too late for
+   * the result to be of use.
    */
   private static final int IN_TIME = 0;
 
@@ -36,10 +38,10 @@
    * Fraction of the expected run time that must remain before the due time; less than 1 because
    * estimates are rough.
    */
-  private static final double MIN_REMAINING_FRACTION = 0.7;
+  static final double MIN_REMAINING_FRACTION = 0.7;
 
   /** Multiple of its allowed time after which a workflow's result is of no use. */
-  private static final double WORTHLESS_FACTOR = 3;
+  static final double WORTHLESS_FACTOR = 3;
 
   /**
    * Minimum remaining validity of a ticket, in milliseconds; covers writing the record and sending
@@ -47,12 +49,22 @@
    */
   private static final long MIN_TICKET_MILLIS = 80;
 
+  /**
+   * Cost added to a quarantined runner for work that should not be a probe, so that it only gets
+   * such work if no other runner is free.
+   */
+  private static final double PROBE_COST = 100;
+
+  /** Expected run time up to which a task may start on a runner that flaps, in milliseconds. */
+  private static final long SHORT_MILLIS = 1_000;
+
   private final CellState cell;
   private final RunLifecycle runs;
   private final AdviceTracker advice;
   private final GangPlacement gangs;
   private final Preemption preemption;
   private final Headroom headroom;
+  private final LocalityWait locality;
   private final FreeCapacityBound freeCapacity;
 
   /** Number of the latest pass, counted from 1. */
@@ -60,11 +72,16 @@
 
   private PassCounts counts = PassCounts.NONE;
 
-  Placement(CellState cell, RunLifecycle runs, AdviceTracker advice) {
+  Placement(
+      CellState cell,
+      RunLifecycle runs,
+      AdviceTracker advice,
+      ToLongFunction<Situation> delayDecision) {
     this.cell = cell;
     this.runs = runs;
     this.advice = advice;
-    this.gangs = new GangPlacement(cell, runs, this);
+    this.locality = new LocalityWait(cell, this, delayDecision);
+    this.gangs = new GangPlacement(cell, runs, this, locality);
     this.preemption = new Preemption(cell, runs);
     this.headroom = new Headroom(cell, this::countRoom);
     this.freeCapacity = new FreeCapacityBound(cell, headroom);
@@ -74,6 +91,10 @@
     return gangs;
   }
 
+  LocalityWait locality() {
+    return locality;
+  }
+
   /**
    * Starts the tasks that fit. Steps are examined in order of rank up to a limit; the rest of the
    * pass goes to the remaining steps, least recently examined first. Steps that cannot start
@@ -84,6 +105,7 @@
    */
   void runPass(int maxStarts) {
     advice.clearRequested();
+    cell.shares.refresh();
     headroom.update();
     freeCapacity.update();
     passNumber++;
@@ -162,35 +184,53 @@
 
   /**
    * Returns the ready steps in the order in which they are placed. Steps that can still be in time
-   * precede late ones, and both precede what an account submitted beyond its weight. Steps whose
-   * result is of no use any more come last.
+   * precede late ones, and both precede what an account submitted beyond its rate. Steps whose
+   * result is of no use any more come last. Within a rank and priority, steps of accounts that are
+   * over their fair share come last.
    */
   private List<Step> stepsByRank() {
     List<List<Step>> ranks = new ArrayList<>();
+    List<List<Step>> overFairShare = new ArrayList<>();
     for (int i = 0; i <= WORTHLESS; i++) {
       ranks.add(new ArrayList<>());
+      overFairShare.add(new ArrayList<>());
     }
-    // Within a rank, the order of the set applies: priority, then due time.
+    int priority = Integer.MIN_VALUE;
+    // Otherwise, the order of the set applies: priority, then due time.
     for (Step s : cell.ready) {
-      ranks.get(rank(s)).add(s);
+      if (s.priority != priority) {
+        priority = s.priority;
+        moveAll(overFairShare, ranks);
+      }
+      (cell.shares.isOver(s) ? overFairShare : ranks).get(rank(s)).add(s);
     }
+    moveAll(overFairShare, ranks);
     List<Step> steps = new ArrayList<>(cell.ready.size());
     ranks.forEach(steps::addAll);
     return steps;
   }
 
+  private static void moveAll(List<List<Step>> from, List<List<Step>> to) {
+    for (int i = 0; i < from.size(); i++) {
+      to.get(i).addAll(from.get(i));
+      from.get(i).clear();
+    }
+  }
+
   private int rank(Step s) {
-    if (s.workflow.spec.excess()) {
+    boolean behind = cell.shares.isBehind(s);
+    if (behind && !cell.shares.isComparing()) {
       return EXCESS;
     }
     double minRemainingMillis = MIN_REMAINING_FRACTION * cell.runTimes.expectedMillis(s);
     if (cell.now + minRemainingMillis <= s.dueMillis) {
-      return IN_TIME;
+      return behind ? EXCESS : IN_TIME;
     }
     long allowedMillis = s.dueMillis - s.workflow.acceptedMillis;
-    return cell.now - s.workflow.acceptedMillis > WORTHLESS_FACTOR * allowedMillis
-        ? WORTHLESS
-        : LATE;
+    if (cell.now - s.workflow.acceptedMillis > WORTHLESS_FACTOR * allowedMillis) {
+      return WORTHLESS;
+    }
+    return behind ? EXCESS : LATE;
   }
 
   /** Returns the runners that may run a step now, regardless of their free capacity. */
@@ -225,7 +265,19 @@
     return cell.takesWork(r, q)
         && (s.spec.requiredLabel().isEmpty()
             || r.description.labels().contains(s.spec.requiredLabel()))
-        && r.health.acceptsRuns(cell.now);
+        && r.health.acceptsRuns(cell.now)
+        && (isShort(s) || !r.health.isFlapping(cell.now));
+  }
+
+  private boolean isShort(Step s) {
+    return !s.spec.gang()
+        && !s.spec.longRunning()
+        && cell.runTimes.expectedMillis(s) <= SHORT_MILLIS;
+  }
+
+  /** Returns the free capacity of a runner that work of a priority may use at once. */
+  ResourceVector freeFor(Runner r, int priority) {
+    return priority > 0 ? r.free().minus(headroom.headroomOn(r)) : r.free();
   }
 
   /**
@@ -273,36 +325,35 @@
 
   private void placeTasks(Step s, Queue q, List<Task> tasks, List<Runner> candidates) {
     int allowed = cell.tasksBelowCeiling(s);
-    int placed = 0;
+    List<Runner> chosen = new ArrayList<>();
     for (Task t : tasks) {
-      if (placed >= allowed) {
+      if (chosen.size() >= allowed) {
         break;
       }
       Runner r = cheapestRunner(s, q, t, candidates);
-      if (r == null) {
+      if (r == null || waitsForLocal(s, q, r, tasks.size() - chosen.size(), candidates)) {
         break;
       }
       runs.intendStart(t, r, t.lastRun + 1);
-      placed++;
+      chosen.add(r);
     }
-    if (placed > 0) {
-      logPlaced(s, placed, candidates.size());
+    if (!chosen.isEmpty()) {
+      logPlaced(s, chosen, candidates.size());
     }
   }
 
-  void logPlaced(Step s, int placed, int candidates) {
-    cell.log(
-        Topic.PLACED,
-        "step",
-        s.key.toString(),
-        "tasks",
-        placed,
-        "candidates",
-        candidates,
-        "waitedMillis",
-        cell.now - s.readyMillis,
-        "policy",
-        cell.policy.version());
+  /** Logs the runners that were chosen for tasks of a step, one for each task. */
+  void logPlaced(Step s, List<Runner> chosen, int candidates) {
+    List<Object> fields = new ArrayList<>();
+    WaitLogger.add(fields, "step", s.key.toString());
+    WaitLogger.add(fields, "tasks", chosen.size());
+    WaitLogger.add(fields, "candidates", candidates);
+    WaitLogger.add(fields, "waitedMillis", cell.now - s.readyMillis);
+    if (LocalityWait.prefersRack(s)) {
+      locality.addPlaced(s, chosen, fields);
+    }
+    WaitLogger.add(fields, "policy", cell.policy.version());
+    cell.log(Topic.PLACED, fields.toArray());
   }
 
   private Runner cheapestRunner(Step s, Queue q, Task t, List<Runner> candidates) {
@@ -320,6 +371,18 @@
     return best;
   }
 
+  /**
+   * Returns whether {@code waiting} tasks wait for a local place instead of the cheapest one. They
+   * do not if a local place is free but costs more, as on a slow runner.
+   */
+  private boolean waitsForLocal(
+      Step s, Queue q, Runner cheapest, int waiting, List<Runner> candidates) {
+    return !LocalityWait.isLocal(s, cheapest)
+        && candidates.stream()
+            .noneMatch(r -> LocalityWait.isLocal(s, r) && countFitting(r, s, q) > 0)
+        && locality.mustWait(s, q, waiting, candidates);
+  }
+
   /**
    * Returns the cost of placing a task of a step on a runner: higher for a slow or failing runner
    * and for one away from the step's data; free capacity also adds to it, but lowers it for
@@ -327,7 +390,9 @@
    */
   double cost(Step s, Runner r) {
     double cost = r.health.cost();
-    if (!s.spec.dataRack().isEmpty() && !r.description.labels().contains(s.spec.dataRack())) {
+    boolean unfitAsProbe = s.priority == 0 || s.spec.gang();
+    cost += unfitAsProbe && r.health.isQuarantined() ? PROBE_COST : 0;
+    if (!LocalityWait.isLocal(s, r)) {
       cost *= cell.limits.remoteFactor();
     }
     ResourceVector c = r.description.capacity();
--- a/core/src/main/java/dev/dandelionport/core/workflow/WaitLogger.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WaitLogger.java
@@ -91,6 +91,7 @@
     add(fields, "waiting", s.countWaiting());
     add(fields, "rank", placement.rankName(s));
     add(fields, "priority", s.priority);
+    add(fields, "overShare", cell.shares.isOver(s));
     add(fields, "reached", placement.wasReached(s));
     add(fields, "lookedAgoMillis", s.lastExaminedMillis < 0 ? -1 : cell.now - s.lastExaminedMillis);
     add(fields, "ceilingAllows", Math.min(cell.tasksBelowCeiling(s), s.spec.tasks()));
@@ -99,6 +100,7 @@
     if (q != null && q.advice().isPresent()) {
       add(fields, "allowedPercent", Math.round(100 * advice.allowedFraction(q)));
     }
+    add(fields, "localWaitLeftMillis", placement.locality().remainingMillis(s));
     capacity.addFields(fields);
     add(fields, "leftOut", omitted);
     cell.log(Topic.WAITING, fields.toArray());
@@ -145,6 +147,9 @@
 
   private WaitReason adviceReason(Step s, StepCapacity capacity, int needed) {
     if (capacity.fittingWithTicket() >= needed) {
+      if (placement.locality().remainingMillis(s) > 0) {
+        return WaitReason.LOCAL_PLACE;
+      }
       return WaitReason.STARTABLE;
     }
     if (s.pendingAdviceCalls > 0) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
@@ -32,12 +32,14 @@
     WAITING,
     ENDED,
     STOPPED,
+    STUCK_RESOLVED,
     CLOSED,
     RUNNER_HELD,
     RUNNER_REBORN,
     RUNNER_LISTED,
     RUNNER_GONE,
     ENDS_LEFT_OUT,
-    ADVICE
+    ADVICE,
+    REFUSED
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -1,17 +1,19 @@
 package dev.dandelionport.core.workflow;
 
+import dev.dandelionport.core.admission.Refusal;
+import dev.dandelionport.core.placement.DelayDecision;
+import dev.dandelionport.core.placement.DelayDecision.Situation;
 import dev.dandelionport.core.workflow.Run.Phase;
 import dev.dandelionport.core.workflow.WorkflowEffect.Topic;
 import dev.dandelionport.core.workflow.WorkflowRecord.Accepted;
 import dev.dandelionport.core.workflow.WorkflowRecord.PolicyApplied;
 import dev.dandelionport.core.workflow.WorkflowRecord.Removed;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 
 /**
@@ -21,9 +23,6 @@
  */
 public final class WorkflowScheduler {
 
-  /** Time for which unused submissions of an account accumulate, in seconds. */
-  private static final double BURST_SECONDS = 1;
-
   private final CellState cell;
   private final RunLifecycle runs;
   private final AdviceTracker advice;
@@ -33,20 +32,31 @@
   private final Watchdog watchdog;
   private final WaitLogger waitLogger;
   private final WorkflowReplay replay;
-  private final Map<String, TokenBucket> submissionRates = new HashMap<>();
+  private final SubmissionAdmission admission;
+  private final RunnerDirectory runnerDirectory;
+  private final SubmissionRates submissionRates;
 
   /** Creates a scheduler without workflows or runners. */
   public WorkflowScheduler(WorkflowLimits limits) {
+    this(limits, DelayDecision::deadlineMillis);
+  }
+
+  /** Creates a scheduler with a decision about waits for a local placement. */
+  WorkflowScheduler(WorkflowLimits limits, ToLongFunction<Situation> delayDecision) {
     cell = new CellState(limits);
-    runs = new RunLifecycle(cell);
+    HealthRecorder health = new HealthRecorder(cell);
+    runs = new RunLifecycle(cell, health);
     advice = new AdviceTracker(cell);
-    placement = new Placement(cell, runs, advice);
+    placement = new Placement(cell, runs, advice, delayDecision);
     advice.setPlacement(placement);
     reports = new RunnerReportHandler(cell, runs);
     starts = new StartHandler(cell, runs, reports, advice);
-    watchdog = new Watchdog(cell, runs, placement.gangs(), advice);
+    watchdog = new Watchdog(cell, runs, health, placement.gangs(), advice);
     waitLogger = new WaitLogger(cell, placement, advice);
     replay = new WorkflowReplay(cell, runs);
+    runnerDirectory = new RunnerDirectory(cell);
+    submissionRates = new SubmissionRates(cell);
+    admission = new SubmissionAdmission(cell, placement::freeFor, submissionRates);
   }
 
   /** Sets the time of the events that follow: the owner's monotonic clock and the wall clock. */
@@ -55,6 +65,11 @@
     cell.wallMillis = wallMillis;
   }
 
+  /** Returns the time of the latest event, on the owner's monotonic clock. */
+  public long nowMillis() {
+    return cell.now;
+  }
+
   /** Returns the records and effects produced since the last call. */
   public WorkflowDecision takeDecision() {
     return cell.takeDecision();
@@ -88,17 +103,20 @@
     return cell.appliedPolicyVersion;
   }
 
+  /**
+   * Returns why a workflow is not accepted, or empty if it may be submitted. A workflow whose id is
+   * known is never refused.
+   */
+  public Optional<Refusal> refusalOf(WorkflowSpec spec) {
+    return cell.workflows.containsKey(spec.id()) ? Optional.empty() : admission.check(spec);
+  }
+
   /** Accepts a workflow unless its id is known. Returns whether it was new. */
   public boolean submit(WorkflowSpec spec) {
     if (cell.workflows.containsKey(spec.id())) {
       return false;
     }
-    ClusterPolicy.Account a = cell.policy.accounts().get(spec.account());
-    boolean excess =
-        a != null
-            && !submissionRates
-                .computeIfAbsent(spec.account(), k -> new TokenBucket(BURST_SECONDS))
-                .tryTake(a.weight(), cell.now);
+    boolean excess = submissionRates.recordSubmission(spec.account());
     Workflow w = new Workflow(spec.withExcess(excess), cell.wallMillis, cell.now);
     cell.workflows.put(spec.id(), w);
     cell.addRecord(new Accepted(w.spec, cell.wallMillis));
@@ -168,6 +186,14 @@
     }
   }
 
+  /**
+   * Returns whether an account uses more than its fair share of what all waiting accounts use, by
+   * the latest placement pass.
+   */
+  public boolean isOverFairShare(String account) {
+    return cell.shares.isOver(account);
+  }
+
   /** Returns the number of unfinished workflows of a queue of which no task has started. */
   public int countUnstarted(String queue) {
     int n = 0;
@@ -192,6 +218,7 @@
       return true;
     }
     cell.policy = policy;
+    cell.shares.applyPolicy();
     List<Step> steps = new ArrayList<>(cell.ready);
     cell.ready.clear();
     steps.forEach(cell::enqueue);
@@ -209,32 +236,8 @@
    * active on it.
    */
   public void setRunners(List<RunnerDescription> list) {
-    Set<String> ids = new HashSet<>();
-    for (RunnerDescription d : list) {
-      ids.add(d.id());
-      Runner r = cell.runners.get(d.id());
-      if (r == null) {
-        r = new Runner(d);
-        cell.runners.put(d.id(), r);
-        cell.log(Topic.RUNNER_LISTED, "runner", d.id(), "domain", d.failureDomain());
-      }
-      if (d.draining() && !r.description.draining()) {
-        cell.log(Topic.RUNNER_GONE, "runner", d.id(), "why", "draining");
-      }
-      r.description = d;
-      r.listed = true;
-    }
-    for (Runner r : List.copyOf(cell.runners.values())) {
-      if (!ids.contains(r.id())) {
-        if (r.listed) {
-          cell.log(Topic.RUNNER_GONE, "runner", r.id(), "why", "not listed");
-        }
-        r.listed = false;
-        if (r.runs.isEmpty()) {
-          cell.runners.remove(r.id());
-        }
-      }
-    }
+    admission.setRunners(list);
+    runnerDirectory.replace(list);
   }
 
   /** Handles the report of a runner; {@code sentMillis} is when the call was sent. */
@@ -360,11 +363,16 @@
   }
 
   /**
-   * Returns the load of the cell. The counts of the placement passes cover the time since the last
-   * call.
+   * Returns the load of the cell. The counts of the placement passes and of the refusals cover the
+   * time since the last call.
    */
   public CellLoad load() {
-    return CellLoad.of(cell, placement.takeCounts());
+    return CellLoad.of(
+        cell,
+        placement.takeCounts(),
+        placement.locality().takeCounts(),
+        admission.takeRefused(),
+        admission.returning());
   }
 
   /** Removes workflows that ended longer ago than the retention time and have no runs left. */
--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceShareTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceShareTest.java
@@ -106,7 +106,7 @@
   private static Map<String, Outcome> simulate(double load) {
     Map<String, Outcome> sums = new TreeMap<>();
     for (int seed = 1; seed <= SEEDS; seed++) {
-      CellSimulation c = new CellSimulation(LOADS, RUNNERS, CAPACITY, INSTANCES, seed);
+      CellSimulation c = new CellSimulation(LOADS, List.of(), RUNNERS, CAPACITY, INSTANCES, seed);
       c.arrivals(0, ARRIVALS_END_MILLIS, load);
       c.run(END_MILLIS, END_MILLIS, END_MILLIS);
       for (QueueLoad l : LOADS) {
--- a/core/src/test/java/dev/dandelionport/core/workflow/ClassShareTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/ClassShareTest.java
@@ -129,13 +129,15 @@
     final double baseFactor = load / (MEAN_LOAD * (1 + (BURST_FACTOR - 1) * 9 / 36));
     Map<String, Outcome> sums = new TreeMap<>();
     for (int seed = 1; seed <= SEEDS; seed++) {
-      CellSimulation c = new CellSimulation(LOADS, RUNNERS, CAPACITY, INSTANCES, seed);
+      CellSimulation c = new CellSimulation(LOADS, List.of(), RUNNERS, CAPACITY, INSTANCES, seed);
       c.arrivals(0, 8_000, baseFactor);
       c.arrivals(8_000, 13_000, BURST_FACTOR * baseFactor);
       c.arrivals(13_000, 24_000, baseFactor);
       c.arrivals(24_000, 28_000, BURST_FACTOR * baseFactor);
       c.arrivals(28_000, 36_000, baseFactor);
       c.run(END_MILLIS, 16_000, 16_000 + ownerAbsentMillis);
+      // Guards against refusals in a cell that can serve bursts and a short absence of its owner.
+      assertThat(c.refusals()).isZero();
       for (QueueLoad l : LOADS) {
         sums.merge(l.name(), c.outcome(l.name(), 0, END_MILLIS), Outcome::plus);
       }
