--- a/core/src/main/java/dev/dandelionport/core/admission/ReturnSchedule.java
+++ b/core/src/main/java/dev/dandelionport/core/admission/ReturnSchedule.java
@@ -111,7 +111,7 @@
     List<Promise> promises = findCapacity(need, earliestMillis, now + MAX_MILLIS, fraction);
     long returnMillis = now + MAX_MILLIS;
     if (!promises.isEmpty()) {
-      returnMillis = Math.min(returnMillis, promises.get(0).slot() * SLOT_MILLIS);
+      returnMillis = promises.get(0).slot() * SLOT_MILLIS;
       TreeMap<Long, Double> slots = promised.computeIfAbsent(need.pool(), k -> new TreeMap<>());
       promises.forEach(p -> slots.merge(p.slot(), p.amount(), Double::sum));
     }
@@ -181,6 +181,7 @@
       Entry e = entries.get(d.caller());
       if (e != null && e.returnMillis == d.returnMillis()) {
         entries.remove(d.caller());
+        release(e);
       }
     }
     promised.values().forEach(slots -> slots.headMap(now / SLOT_MILLIS).clear());
--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
@@ -107,11 +107,13 @@
     WorkflowSpec spec =
         new WorkflowSpec(
             id, q.name(), account, body.payload(), body.steps(), body.recurrence(), false);
-    Optional<Refusal> refusal = scheduler.refusalOf(spec);
+    // A process that may no longer be the owner refuses nothing: the next owner may have accepted
+    // the id. What it accepts is stored only if it still is the owner.
+    Optional<Refusal> refusal =
+        submissionGate.isOwnershipCertain() ? scheduler.refusalOf(spec) : Optional.empty();
     if (refusal.isPresent()) {
       applyDecisions.run();
-      return answerNow(
-          submissionGate.unsureOwnerAnswer().orElseGet(() -> refusalAnswer(refusal.get())));
+      return answerNow(refusalAnswer(refusal.get()));
     }
     long position = pendingAnswers.position();
     scheduler.submit(spec);
--- a/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
@@ -88,9 +88,8 @@
    */
   private WorkflowAnswer refuse(
       WorkflowCall c, StoreContact contact, String reason, long retryMillis) {
-    Optional<WorkflowAnswer> unsure = unsureOwnerAnswer(contact);
-    if (unsure.isPresent()) {
-      return unsure.get();
+    if (!contact.isOwnershipCertain()) {
+      return new WorkflowAnswer(WorkflowStatus.NOT_OWNER, null, 0, UNSURE_OWNER_RETRY_MILLIS);
     }
     shard.runAfterUnlock(
         () ->
@@ -109,18 +108,8 @@
     return new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, retryMillis);
   }
 
-  /**
-   * Returns the answer in place of any refusal if this process may no longer be the owner, because
-   * the next owner may have accepted the id; empty if it certainly is the owner.
-   */
-  Optional<WorkflowAnswer> unsureOwnerAnswer() {
-    return unsureOwnerAnswer(storeContact.get());
-  }
-
-  private static Optional<WorkflowAnswer> unsureOwnerAnswer(StoreContact contact) {
-    return contact.isOwnershipCertain()
-        ? Optional.empty()
-        : Optional.of(
-            new WorkflowAnswer(WorkflowStatus.NOT_OWNER, null, 0, UNSURE_OWNER_RETRY_MILLIS));
+  /** Returns whether no other instance can have become the owner. */
+  boolean isOwnershipCertain() {
+    return storeContact.get().isOwnershipCertain();
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/health/RestartDecision.java
+++ b/core/src/main/java/dev/dandelionport/core/health/RestartDecision.java
@@ -37,8 +37,7 @@
     if (!isSuspect(ranMillis)) {
       return false;
     }
-    // Runs that save checkpoints are known to make progress, so that all work of the others is
-    // lost.
+    // The whole run time counts as lost: runs that save checkpoints have the lowest probability.
     double p = Math.min(1, Math.max(MIN_PROBABILITY, faultProbability));
     double tail = Math.pow(Math.max(1, ranMillis / longestMillis), TAIL_EXPONENT);
     double fault = p * tail;
--- a/core/src/main/java/dev/dandelionport/core/placement/DelayDecision.java
+++ b/core/src/main/java/dev/dandelionport/core/placement/DelayDecision.java
@@ -37,7 +37,7 @@
    * @param dueMillis when the step is due
    * @param urgent whether the step has priority 0
    * @param overFairShare whether its account is over its fair share
-   * @param competing number of waiting tasks of other steps that want the same places
+   * @param competing number of waiting tasks of steps that come first and want the same places
    * @param ticketUntilMillis until when a ticket for a possible remote placement is usable
    */
   public record Situation(
--- a/core/src/main/java/dev/dandelionport/core/workflow/AccountShares.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AccountShares.java
@@ -127,10 +127,11 @@
 
   /**
    * Returns whether a new workflow above the rate of an account would rank behind the work of
-   * others: the account is over its fair share or has other work waiting.
+   * others: always while accounts are not compared, otherwise if the account is over its fair share
+   * or has other work waiting.
    */
   boolean ranksExcessBehind(String account) {
-    return isOver(account) || waitingWithinRate.contains(account);
+    return !decision.isComparing() || isOver(account) || waitingWithinRate.contains(account);
   }
 
   /** Returns whether at least two accounts wait, so that their shares count. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/AdmissionLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdmissionLoad.java
@@ -83,7 +83,7 @@
   }
 
   /** Returns whether nine tenths of the listed runners have reported to this owner. */
-  boolean isPoolKnown() {
+  boolean areRunnersKnown() {
     int listed = 0;
     int reported = 0;
     for (Runner r : cell.runners.values()) {
@@ -139,7 +139,7 @@
         new Backlog.Waiting(
             s.workflow.spec.account(),
             s.priority,
-            s.workflow.spec.excess(),
+            cell.shares.isBehind(s),
             (long) (s.dueMillis - Placement.MIN_REMAINING_FRACTION * expectedMillis),
             s.dueMillis,
             (long) (acceptedMillis + Placement.WORTHLESS_FACTOR * (s.dueMillis - acceptedMillis)));
--- a/core/src/main/java/dev/dandelionport/core/workflow/ClusterPolicy.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/ClusterPolicy.java
@@ -76,8 +76,8 @@
    * @param name name of the account
    * @param keys API keys
    * @param weight its share of a full cell relative to other accounts, and workflows per second
-   *     that it may submit; what exceeds this rate ranks behind other work until the account is
-   *     below its fair share
+   *     that it may submit; what exceeds this rate ranks behind other work; where accounts are
+   *     compared, until the account is below its fair share
    * @param ceiling maximum resources of its runs; 0 in a component means no limit
    */
   public record Account(String name, List<String> keys, double weight, ResourceVector ceiling) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/LocalityWait.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/LocalityWait.java
@@ -95,7 +95,8 @@
   void addPlaced(Step s, List<Runner> chosen, List<Object> fields) {
     int local = countLocal(s, chosen);
     int remote = chosen.size() - local;
-    long waitedMillis = s.localityWaitTasks > 0 ? cell.now - s.localityWaitSinceMillis : 0;
+    long waitEndMillis = Math.min(cell.now, s.localityWaitUntilMillis);
+    long waitedMillis = s.localityWaitTasks > 0 ? waitEndMillis - s.localityWaitSinceMillis : 0;
     int waited = Math.min(chosen.size(), s.localityWaitTasks);
     s.localityWaitTasks -= waited;
     counts = counts.plus(new LocalityCounts(local, remote, 0, waited * waitedMillis));
@@ -179,7 +180,10 @@
           releases.add(new Release(expectedEndMillis(x), x.reserved));
         }
       }
-      int limit = s.spec.maxPerRunner() > 0 ? s.spec.maxPerRunner() : s.spec.tasks();
+      int limit =
+          s.spec.maxPerRunner() > 0
+              ? Math.max(0, s.spec.maxPerRunner() - r.countRuns(s))
+              : s.spec.tasks();
       nodes.add(new Node(placement.freeFor(r, q.priority()), releases, limit));
     }
     return ExpectedPlaces.freeMillis(nodes, s.spec.reserved(), wanted, cell.now);
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunTimeStatistics.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunTimeStatistics.java
@@ -143,7 +143,8 @@
 
   /** Returns the expected run time of a task of the step, in milliseconds. */
   long expectedMillis(Step s) {
-    return (long) (queue(s).estimateRatio * s.spec.estimateMillis());
+    QueueRunTimes q = queues.get(new Key(s.workflow.spec.queue(), s.spec.gang()));
+    return (long) ((q == null ? 1 : q.estimateRatio) * s.spec.estimateMillis());
   }
 
   /**
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerHealth.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerHealth.java
@@ -168,7 +168,7 @@
     return unprobed;
   }
 
-  /** Resets the rating for a new incarnation of the runner, which started before now. */
+  /** Resets the rating for a new incarnation of the runner, which counts as a start now. */
   void reset(long now) {
     failures.reset();
     speed.reset();
--- a/core/src/main/java/dev/dandelionport/core/workflow/SubmissionAdmission.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/SubmissionAdmission.java
@@ -105,7 +105,7 @@
       Optional<RefusalReason> never =
           Feasibility.reasonNever(r, listedRunners.of(q.service()), quota);
       if (never.isPresent()) {
-        return load.isPoolKnown() ? never : Optional.empty();
+        return load.areRunnersKnown() ? never : Optional.empty();
       }
     }
     return Optional.empty();
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowLimits.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowLimits.java
@@ -26,7 +26,7 @@
     boolean delayScheduling,
     boolean fairShares) {
 
-  /** Creates limits with admission control, delay scheduling and fair shares. */
+  /** Creates limits with admission control and delay scheduling, without fair shares. */
   public WorkflowLimits(
       long gangTimeoutMillis,
       long maxStopMillis,
@@ -41,6 +41,6 @@
         closedRetentionMillis,
         true,
         true,
-        true);
+        false);
   }
 }
--- a/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
@@ -191,7 +191,15 @@
     this.locality = locality;
     scheduler =
         new WorkflowScheduler(
-            new WorkflowLimits(3_000, 200, locality.remoteFactor(), CHECKPOINT_MILLIS, 1_000_000),
+            new WorkflowLimits(
+                3_000,
+                200,
+                locality.remoteFactor(),
+                CHECKPOINT_MILLIS,
+                1_000_000,
+                true,
+                true,
+                !accounts.isEmpty()),
             locality.decision());
     this.loads = loads;
     this.faults = faults;
--- a/core/src/test/java/dev/dandelionport/core/workflow/FairShareOrderTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/FairShareOrderTest.java
@@ -19,7 +19,7 @@
 
   private static final int CORES = 32;
 
-  private final WorkflowFixture cell = new WorkflowFixture();
+  private final WorkflowFixture cell = new WorkflowFixture(true);
 
   @BeforeEach
   void setAccounts() {
--- a/core/src/test/java/dev/dandelionport/core/workflow/OverloadPlay.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/OverloadPlay.java
@@ -60,7 +60,7 @@
   OverloadPlay(boolean admissionControl) {
     scheduler =
         new WorkflowScheduler(
-            new WorkflowLimits(3_000, 200, 1, 2_000, 1_000_000, admissionControl, true, true));
+            new WorkflowLimits(3_000, 200, 1, 2_000, 1_000_000, admissionControl, true, false));
     setTime();
     Map<String, Account> accounts = new HashMap<>();
     accounts.put("hot", new Account("hot", List.of("h"), 10, ResourceVector.ZERO));
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
@@ -15,8 +15,7 @@
 
   static final ResourceVector CAPACITY = new ResourceVector(0, 0, 16_000, 32_000, 0);
 
-  final WorkflowScheduler scheduler =
-      new WorkflowScheduler(new WorkflowLimits(3_000, 200, 3, 2_000, 120_000));
+  final WorkflowScheduler scheduler;
   final List<WorkflowRecord> journal = new ArrayList<>();
   final List<WorkflowEffect> effects = new ArrayList<>();
   final Set<String> draining = new java.util.HashSet<>();
@@ -24,7 +23,12 @@
   private long lastEndNumber;
 
   WorkflowFixture() {
-    this(List.of());
+    this(false);
+  }
+
+  /** Creates a scheduler that compares accounts with their fair shares, if this is asked for. */
+  WorkflowFixture(boolean fairShares) {
+    this(List.of(), fairShares);
     for (String id : List.of("r1", "r2")) {
       report(id, 1, List.of(), List.of());
     }
@@ -33,6 +37,13 @@
 
   /** Creates the scheduler of an owner that has read a history but no report of a runner. */
   WorkflowFixture(List<WorkflowRecord> history) {
+    this(history, false);
+  }
+
+  private WorkflowFixture(List<WorkflowRecord> history, boolean fairShares) {
+    scheduler =
+        new WorkflowScheduler(
+            new WorkflowLimits(3_000, 200, 3, 2_000, 120_000, true, true, fairShares));
     updateTime();
     history.forEach(scheduler::replay);
     scheduler.finishReplay();
