Log which incarnation of a runner the directory lists and which answers

Change: DP4008 RUNNER_LISTED also when the entry of another incarnation replaces one, with `born`, `answeredBorn` and how long the runner waited for it; RUNNER_REBORN with the entry in use and its age; START_BY_OTHER_DESCRIPTION for each start that leaves by the entry of an incarnation that is not the one that answered last; RUN_IN_OTHER_INCARNATION for a run that another incarnation than the intended one reports.

No behaviour changes here.

--- a/core/src/main/java/dev/dandelionport/core/workflow/Runner.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Runner.java
@@ -8,6 +8,9 @@
 final class Runner {
   RunnerDescription description;
 
+  /** When the description of this incarnation was first read, on the owner's monotonic clock. */
+  long describedMillis;
+
   /** Whether the directory currently lists it. */
   boolean listed = true;
 
@@ -16,6 +19,9 @@
    */
   long incarnation;
 
+  /** When that incarnation first reported, on the owner's monotonic clock. */
+  long incarnationSeenMillis;
+
   /**
    * Whether the current incarnation has reported to this owner. From then on, it refuses orders of
    * previous owners.
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerDirectory.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerDirectory.java
@@ -25,12 +25,18 @@
       Runner r = cell.runners.get(d.id());
       if (r == null) {
         r = new Runner(d);
+        r.describedMillis = cell.now;
         cell.runners.put(d.id(), r);
-        cell.log(Topic.RUNNER_LISTED, "runner", d.id(), "domain", d.failureDomain());
+        logListed(r, d);
+      } else if (r.description.incarnation() != d.incarnation()) {
+        logListed(r, d);
       }
       if (d.draining() && !r.description.draining()) {
         cell.log(Topic.RUNNER_GONE, "runner", d.id(), "why", "draining");
       }
+      if (r.description.incarnation() != d.incarnation()) {
+        r.describedMillis = cell.now;
+      }
       r.description = d;
       r.listed = true;
     }
@@ -46,4 +52,21 @@
       }
     }
   }
+
+  /** Logs that the directory lists an incarnation that it did not list before. */
+  private void logListed(Runner r, RunnerDescription d) {
+    boolean answered = r.incarnation == d.incarnation();
+    cell.log(
+        Topic.RUNNER_LISTED,
+        "runner",
+        d.id(),
+        "domain",
+        d.failureDomain(),
+        "born",
+        d.incarnation(),
+        "answeredBorn",
+        r.incarnation,
+        "waitedMillis",
+        answered ? cell.now - r.incarnationSeenMillis : 0);
+  }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
@@ -71,9 +71,21 @@
 
   private void beginIncarnation(Runner r, long incarnation) {
     if (r.incarnation != 0) {
-      cell.log(Topic.RUNNER_REBORN, "runner", r.id(), "born", incarnation, "runs", r.runs.size());
+      cell.log(
+          Topic.RUNNER_REBORN,
+          "runner",
+          r.id(),
+          "born",
+          incarnation,
+          "runs",
+          r.runs.size(),
+          "listedBorn",
+          r.description.incarnation(),
+          "listedMillis",
+          cell.now - r.describedMillis);
     }
     r.incarnation = incarnation;
+    r.incarnationSeenMillis = cell.now;
     r.lastEndNumber = 0;
     r.health.reset(cell.now);
   }
@@ -91,6 +103,9 @@
 
   private void handleRunning(Run run, Running x) {
     confirm(run);
+    if (!run.inherited && run.incarnation != run.runner.incarnation) {
+      logOtherIncarnation(run);
+    }
     run.incarnation = run.runner.incarnation;
     if (!x.checkpoint().equals(run.checkpoint)) {
       run.checkpoint = x.checkpoint();
@@ -104,6 +119,22 @@
     }
   }
 
+  /** Logs a run whose start was sent to an earlier incarnation and carried out by this one. */
+  private void logOtherIncarnation(Run run) {
+    cell.log(
+        Topic.RUN_IN_OTHER_INCARNATION,
+        "task",
+        run.task.key.toString(),
+        "run",
+        run.number,
+        "runner",
+        run.runner.id(),
+        "intendedBorn",
+        run.incarnation,
+        "born",
+        run.runner.incarnation);
+  }
+
   /** Records that a runner has confirmed a run. */
   void confirm(Run run) {
     if (run.phase != Phase.CONFIRMED) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/StartHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/StartHandler.java
@@ -57,6 +57,24 @@
       runs.end(r, RunEnd.NEVER_STARTED, "");
       return Optional.empty();
     }
+    if (r.runner.description.incarnation() != r.runner.incarnation) {
+      cell.log(
+          Topic.START_BY_OTHER_DESCRIPTION,
+          "task",
+          task.toString(),
+          "run",
+          run,
+          "runner",
+          runner,
+          "describedBorn",
+          r.runner.description.incarnation(),
+          "describedMillis",
+          cell.now - r.runner.describedMillis,
+          "answeredBorn",
+          r.runner.incarnation,
+          "answeredMillis",
+          cell.now - r.runner.incarnationSeenMillis);
+    }
     r.phase = Phase.UNCONFIRMED;
     r.startSentMillis = cell.now;
     String ticketValue = ticket == null ? "" : ticket.value();
