--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLoad.java
@@ -110,6 +110,7 @@
       "silent", runners.unresponsive(),
       "held", runners.quarantined(),
       "draining", runners.draining(),
+      "undescribed", runners.undescribed(),
       "gone", runners.unlisted(),
       "passes", cell.passes().passes(),
       "passMaxMillis", passDurations.maxMillis(),
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -143,7 +143,10 @@
       return;
     }
     boolean awaitsReport = owner.scheduler().awaitsReport(runnerId());
-    boolean reportOutdated = hasRestartedSinceReport() || awaitsClock();
+    boolean reportOutdated =
+        hasRestartedSinceReport()
+            || awaitsClock()
+            || owner.scheduler().mayHaveRestarted(runnerId());
     boolean stateUnknown = !answered || reportOutdated || owner.scheduler().needsReport(runnerId());
     boolean callNeeded =
         stateUnknown || failures > 0 || ends.awaitsJournal() || ends.isDue() || awaitsReport;
--- a/core/src/main/java/dev/dandelionport/core/workflow/AccountShares.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AccountShares.java
@@ -72,7 +72,7 @@
     nextRefreshMillis = cell.now + REFRESH_MILLIS;
     ResourceVector capacity = ResourceVector.ZERO;
     for (Runner r : cell.runners.values()) {
-      capacity = r.listed ? capacity.plus(r.description.capacity()) : capacity;
+      capacity = r.listed ? capacity.plus(r.described().description.capacity()) : capacity;
     }
     ledger.setCapacity(capacity);
     ledger.advance(cell.now);
--- a/core/src/main/java/dev/dandelionport/core/workflow/AdmissionLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdmissionLoad.java
@@ -46,10 +46,10 @@
     long fittingEmpty = 0;
     for (Runner r : cell.runners.values()) {
       if (contains(p, r)) {
-        ResourceVector c = r.description.capacity();
+        ResourceVector c = r.described().description.capacity();
         capacity = capacity.plus(c);
         fittingEmpty += size.countFittingIn(c);
-        boolean usable = r.ownerConfirmed && !r.unresponsive && r.health.acceptsRuns(cell.now);
+        boolean usable = r.isReady() && r.health().acceptsRuns(cell.now);
         fittingNow += usable ? size.countFittingIn(free.on(r, priority)) : 0;
       }
     }
@@ -98,11 +98,12 @@
    * too, because in the best case they answer at once.
    */
   private boolean contains(Pool p, Runner r) {
+    RunnerDescription d = r.described().description;
     return r.listed
-        && r.description.service().equals(p.service)
-        && (p.label.isEmpty() || r.description.labels().contains(p.label))
-        && !r.description.draining()
-        && !cell.closedDomains.contains(r.description.failureDomain());
+        && d.service().equals(p.service)
+        && (p.label.isEmpty() || d.labels().contains(p.label))
+        && !d.draining()
+        && !cell.closedDomains.contains(d.failureDomain());
   }
 
   private Backlog computeBacklog(Pool p) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceRunnerSelector.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceRunnerSelector.java
@@ -115,8 +115,7 @@
       boolean allowed = s.isAllowed(r);
       boolean denied = !allowed && s.isDenied(r);
       boolean pending = s.pendingAdviceRunners.containsKey(r.id());
-      if (placement.hasTicket(s, r)
-          && s.tickets.get(r.id()).validUntilMillis() > minValidUntilMillis) {
+      if (placement.hasTicket(s, r) && s.ticketFor(r).validUntilMillis() > minValidUntilMillis) {
         v.fittingWithTicket += fitting;
       } else if (allowed && pending) {
         v.pendingOnAllowed += fitting;
--- a/core/src/main/java/dev/dandelionport/core/workflow/AdviceTracker.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/AdviceTracker.java
@@ -169,7 +169,7 @@
   private AdviceRequest startCall(Step s, Advice a, List<Runner> runners) {
     s.pendingAdviceCalls++;
     pendingCalls.merge(s.workflow.spec.queue(), 1, Integer::sum);
-    runners.forEach(r -> s.pendingAdviceRunners.put(r.id(), r.incarnation));
+    runners.forEach(r -> s.pendingAdviceRunners.put(r.id(), r.current().id));
     List<String> ids = runners.stream().map(Runner::id).toList();
     return new AdviceRequest(s.key, ids, AdviceRunnerSelector.callMillis(a, ids.size()));
   }
@@ -204,8 +204,11 @@
     s.pendingAdviceCalls--;
     pendingCalls.merge(s.workflow.spec.queue(), -1, Integer::sum);
     discovering.remove(s);
-    final Map<String, Long> requestedIncarnations = new HashMap<>(s.pendingAdviceRunners);
-    requestedRunners.forEach(s.pendingAdviceRunners::remove);
+    List<IncarnationId> incarnations =
+        requestedRunners.stream()
+            .map(s.pendingAdviceRunners::remove)
+            .filter(Objects::nonNull)
+            .toList();
     Queue q = cell.queueOf(s);
     boolean shortInterval = q != null && q.priority() == 0 || s.spec.gang() && tickets != null;
     s.nextAdviceMillis =
@@ -216,20 +219,16 @@
     long validUntilMillis = cell.now + validMillis - EXPIRY_MARGIN_MILLIS;
     int newDecisions = 0;
     int newlyAllowed = 0;
-    for (String id : requestedRunners) {
-      Runner r = cell.runners.get(id);
-      if (r == null || !Objects.equals(requestedIncarnations.get(id), r.incarnation)) {
-        // The answer does not apply to a restarted runner, whose properties may have changed.
-        continue;
-      }
-      String ticket = tickets.get(id);
+    // The answer applies to the incarnations that were named, whichever are current by now.
+    for (IncarnationId id : incarnations) {
+      String ticket = tickets.get(id.runner());
       if (ticket == null) {
-        newDecisions += s.denied.add(r.incarnationKey()) ? 1 : 0;
+        newDecisions += s.denied.add(id) ? 1 : 0;
       } else {
-        boolean added = s.allowed.add(r.incarnationKey());
+        boolean added = s.allowed.add(id);
         newDecisions += added ? 1 : 0;
         newlyAllowed += added ? 1 : 0;
-        s.tickets.put(id, new Step.Ticket(ticket, r.incarnation, validUntilMillis));
+        s.tickets.put(id, new Step.Ticket(ticket, validUntilMillis));
       }
     }
     if (newDecisions > 0) {
@@ -245,9 +244,4 @@
         "allowed",
         tickets.size());
   }
-
-  /** Removes a ticket that a runner refused. */
-  void removeTicket(Step s, Runner r) {
-    s.tickets.remove(r.id());
-  }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/CellLoad.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/CellLoad.java
@@ -38,10 +38,17 @@
    * @param unresponsive calls to it fail
    * @param quarantined quarantined because of failed or stuck runs
    * @param draining asked to drain, so they get no new runs
+   * @param undescribed have answered, but the directory lists another incarnation
    * @param unlisted no longer in the directory, but runs may still be active there
    */
   public record RunnerCounts(
-      int listed, int confirmed, int unresponsive, int quarantined, int draining, int unlisted) {}
+      int listed,
+      int confirmed,
+      int unresponsive,
+      int quarantined,
+      int draining,
+      int undescribed,
+      int unlisted) {}
 
   static CellLoad of(
       CellState cell, PassCounts passes, LocalityCounts locality, int refused, int returning) {
@@ -63,7 +70,7 @@
       }
       if (r.listed) {
         used += r.used.milliCores();
-        capacity += r.description.capacity().milliCores();
+        capacity += r.described().description.capacity().milliCores();
       }
     }
     int percent = (int) (100 * used / Math.max(1, capacity));
@@ -86,6 +93,7 @@
     int unresponsive = 0;
     int quarantined = 0;
     int draining = 0;
+    int undescribed = 0;
     int unlisted = 0;
     for (Runner r : cell.runners.values()) {
       if (!r.listed) {
@@ -95,9 +103,11 @@
       listed++;
       confirmed += r.ownerConfirmed ? 1 : 0;
       unresponsive += r.unresponsive ? 1 : 0;
-      quarantined += r.health.isQuarantined() ? 1 : 0;
-      draining += r.description.draining() ? 1 : 0;
+      quarantined += r.health().isQuarantined() ? 1 : 0;
+      draining += r.described().description.draining() ? 1 : 0;
+      undescribed += r.ownerConfirmed && !r.isDescribed() ? 1 : 0;
     }
-    return new RunnerCounts(listed, confirmed, unresponsive, quarantined, draining, unlisted);
+    return new RunnerCounts(
+        listed, confirmed, unresponsive, quarantined, draining, undescribed, unlisted);
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/CellState.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/CellState.java
@@ -97,17 +97,17 @@
     return policy.queues().get(s.workflow.spec.queue());
   }
 
-  /**
-   * Returns whether a runner may get work of a queue, regardless of the step and of the runner's
-   * health.
-   */
-  boolean takesWork(Runner r, Queue q) {
-    return r.listed
-        && r.ownerConfirmed
-        && !r.unresponsive
-        && !r.description.draining()
-        && r.description.service().equals(q.service())
-        && !closedDomains.contains(r.description.failureDomain());
+  /** Returns whether a runner may get work, regardless of the kind of work and of its health. */
+  boolean takesWork(Runner r) {
+    return r.isReady() && !closedDomains.contains(r.description().failureDomain());
+  }
+
+  /** Returns whether a runner may run a step of a queue, regardless of room, health and advice. */
+  boolean mayRun(Runner r, Step s, Queue q) {
+    String label = s.spec.requiredLabel();
+    return takesWork(r)
+        && r.description().service().equals(q.service())
+        && (label.isEmpty() || r.description().labels().contains(label));
   }
 
   /** Adds a run to the resources in use on its runner and by its account. */
--- a/core/src/main/java/dev/dandelionport/core/workflow/FreeCapacityBound.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/FreeCapacityBound.java
@@ -37,12 +37,12 @@
     maxFreeForOthers.clear();
     maxFree.clear();
     for (Runner r : cell.runners.values()) {
-      if (r.listed && r.ownerConfirmed && !r.unresponsive) {
+      if (r.isReady()) {
         ResourceVector freeForOthers = r.free().minus(headroom.headroomOn(r));
         maxFreeForOthers.merge(
-            r.description.service(), freeForOthers.max(ResourceVector.ZERO), ResourceVector::max);
+            r.description().service(), freeForOthers.max(ResourceVector.ZERO), ResourceVector::max);
         ResourceVector free = r.free().max(ResourceVector.ZERO);
-        maxFree.merge(r.description.service(), free, ResourceVector::max);
+        maxFree.merge(r.description().service(), free, ResourceVector::max);
       }
     }
   }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Headroom.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Headroom.java
@@ -100,7 +100,7 @@
     double memory = 0;
     int usableRunners = 0;
     for (Runner r : cell.runners.values()) {
-      usableRunners += r.listed && r.ownerConfirmed && !r.description.draining() ? 1 : 0;
+      usableRunners += r.isDescribed() && r.ownerConfirmed && !r.description().draining() ? 1 : 0;
       cores += r.urgentUsed.milliCores();
       memory += r.urgentUsed.memoryMb();
     }
@@ -169,13 +169,9 @@
   private void sumPools() {
     pools.clear();
     for (Runner r : cell.runners.values()) {
-      if (r.listed
-          && r.ownerConfirmed
-          && !r.unresponsive
-          && !r.description.draining()
-          && !cell.closedDomains.contains(r.description.failureDomain())) {
-        Pool pool = new Pool(r.description.capacity(), r.free());
-        pools.merge(r.description.service(), pool, Pool::plus);
+      if (cell.takesWork(r)) {
+        Pool pool = new Pool(r.description().capacity(), r.free());
+        pools.merge(r.description().service(), pool, Pool::plus);
       }
     }
     poolsVersion = cell.occupancyVersion;
@@ -183,7 +179,7 @@
 
   /** Returns the capacity of a runner that other work must leave free. */
   ResourceVector headroomOn(Runner r) {
-    ResourceVector c = r.description.capacity();
+    ResourceVector c = r.description().capacity();
     long cores =
         headroomOf(c.milliCores(), peakMilliCores, averageTaskMilliCores)
             - r.urgentUsed.milliCores();
--- a/core/src/main/java/dev/dandelionport/core/workflow/HealthRecorder.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/HealthRecorder.java
@@ -46,7 +46,7 @@
       // It may wait for any of its members.
       return;
     }
-    RunnerHealth h = x.runner.health;
+    RunnerHealth h = x.runner.health();
     boolean wasQuarantined = h.isQuarantined();
     // Without its completed runs, which a runner that hangs since then may have had before.
     double faultOfAnyRunner = cell.runTimes.stopOutcomes(x.task.step).faultProbability(1);
@@ -73,7 +73,7 @@
   /** Returns the probability that the runner of a conspicuous run is at fault. */
   double faultProbability(Run x) {
     double average = cell.runTimes.faultRate();
-    RunnerHealth h = x.runner.health;
+    RunnerHealth h = x.runner.health();
     StopOutcomes outcomes = cell.runTimes.stopOutcomes(x.task.step);
     return x.previousStuckCount > 0
         ? outcomes.repeatedFaultProbability(h.faultRate(average))
@@ -82,15 +82,13 @@
 
   /** Records the end of a run before the state of its task is updated. */
   void recordEnd(Run r, RunEnd outcome) {
-    RunnerHealth h = r.runner.health;
+    RunnerHealth h = r.runner.health();
     Task t = r.task;
     boolean wasQuarantined = h.isQuarantined();
     if (outcome == RunEnd.DONE && r.startSentMillis > 0) {
       h.recordSuccess(r.probe);
       recordRunTime(r, cell.now - r.startSentMillis);
-    } else if (outcome == RunEnd.FAILED
-        && t.failures == 0
-        && r.incarnation == r.runner.incarnation) {
+    } else if (outcome == RunEnd.FAILED && t.failures == 0 && r.incarnation == r.runner.current()) {
       h.recordFailure(cell.now, r.probe);
     } else if (r.probe) {
       h.recordInconclusiveProbe();
@@ -116,7 +114,7 @@
       double ratio = cell.runTimes.recordRun(t.step, runMillis);
       if (!t.step.spec.gang()) {
         t.step.longestRunMillis = Math.max(t.step.longestRunMillis, runMillis);
-        r.runner.health.recordSpeed(ratio);
+        r.runner.health().recordSpeed(ratio);
       }
     }
   }
@@ -152,14 +150,14 @@
   /** Shares the blame for a run that hung among its runners, by how often runs hang there. */
   private void blame(Suspects s, boolean isLong) {
     double average = cell.runTimes.faultRate();
-    double sum = s.runs().stream().mapToDouble(x -> x.runner.health.faultRate(average)).sum();
+    double sum = s.runs().stream().mapToDouble(x -> x.runner.health().faultRate(average)).sum();
     for (Run x : s.runs()) {
-      if (x.incarnation == x.runner.incarnation) {
-        boolean wasQuarantined = x.runner.health.isQuarantined();
+      if (x.incarnation == x.runner.current()) {
+        boolean wasQuarantined = x.runner.health().isQuarantined();
         if (isLong) {
-          x.runner.health.clearSuspicion();
+          x.runner.health().clearSuspicion();
         } else {
-          x.runner.health.recordFault(cell.now, x.runner.health.faultRate(average) / sum);
+          x.runner.health().recordFault(cell.now, x.runner.health().faultRate(average) / sum);
         }
         logIfChanged(x.runner, wasQuarantined, isLong ? "task is long" : "task hung here only");
       }
@@ -167,7 +165,7 @@
   }
 
   private void logIfChanged(Runner r, boolean wasQuarantined, String cause) {
-    boolean quarantined = r.health.isQuarantined();
+    boolean quarantined = r.health().isQuarantined();
     if (quarantined != wasQuarantined) {
       cell.log(Topic.RUNNER_HELD, "runner", r.id(), "held", quarantined, "cause", cause);
     }
@@ -175,7 +173,7 @@
 
   /** Ends the quarantine of a runner that got no probe. */
   void releaseIfUnprobed(Runner r) {
-    if (r.health.releaseIfUnprobed(cell.now)) {
+    if (r.health().releaseIfUnprobed(cell.now)) {
       logIfChanged(r, true, "not probed");
     }
   }
--- a/core/src/main/java/dev/dandelionport/core/workflow/LocalityWait.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/LocalityWait.java
@@ -45,7 +45,7 @@
   /** Returns whether a runner is on the rack of the step's data, or the step has none. */
   static boolean isLocal(Step s, Runner r) {
     String rack = s.spec.dataRack();
-    return rack.isEmpty() || r.description.labels().contains(rack);
+    return rack.isEmpty() || r.description().labels().contains(rack);
   }
 
   /**
@@ -217,7 +217,7 @@
     long until = 0;
     for (Runner r : candidates) {
       if (placement.countFitting(r, s, q) > 0) {
-        until = Math.max(until, s.tickets.get(r.id()).validUntilMillis());
+        until = Math.max(until, s.ticketFor(r).validUntilMillis());
       }
     }
     return until - TICKET_MARGIN_MILLIS;
--- a/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Placement.java
@@ -237,9 +237,9 @@
   private List<Runner> candidates(Step s, Queue q) {
     List<Runner> list = new ArrayList<>();
     if (q.advice().isPresent()) {
-      for (String id : s.tickets.keySet()) {
-        Runner r = cell.runners.get(id);
-        if (r != null && isUsable(r, s, q) && hasTicket(s, r)) {
+      for (IncarnationId id : s.tickets.keySet()) {
+        Runner r = cell.runners.get(id.runner());
+        if (r != null && r.current().id.equals(id) && isUsable(r, s, q) && hasTicket(s, r)) {
           list.add(r);
         }
       }
@@ -254,19 +254,15 @@
   }
 
   boolean hasTicket(Step s, Runner r) {
-    Step.Ticket t = s.tickets.get(r.id());
-    return t != null
-        && t.incarnation() == r.incarnation
-        && cell.now + MIN_TICKET_MILLIS < t.validUntilMillis();
+    Step.Ticket t = s.ticketFor(r);
+    return t != null && cell.now + MIN_TICKET_MILLIS < t.validUntilMillis();
   }
 
   /** Returns whether a runner may get tasks of a step, regardless of tickets and free capacity. */
   boolean isUsable(Runner r, Step s, Queue q) {
-    return cell.takesWork(r, q)
-        && (s.spec.requiredLabel().isEmpty()
-            || r.description.labels().contains(s.spec.requiredLabel()))
-        && r.health.acceptsRuns(cell.now)
-        && (isShort(s) || !r.health.isFlapping(cell.now));
+    return cell.mayRun(r, s, q)
+        && r.health().acceptsRuns(cell.now)
+        && (isShort(s) || !r.health().isFlapping(cell.now));
   }
 
   private boolean isShort(Step s) {
@@ -316,9 +312,9 @@
     if (s.spec.maxPerRunner() > 0) {
       n = Math.min(n, s.spec.maxPerRunner() - r.countRuns(s));
     }
-    if (r.health.isQuarantined()) {
+    if (r.health().isQuarantined()) {
       // Only one probe at a time, also among the tasks of one step.
-      n = Math.min(n, r.health.acceptsRuns(cell.now) ? 1 : 0);
+      n = Math.min(n, r.health().acceptsRuns(cell.now) ? 1 : 0);
     }
     return Math.max(0, n);
   }
@@ -389,13 +385,13 @@
    * best-effort steps.
    */
   double cost(Step s, Runner r) {
-    double cost = r.health.cost();
+    double cost = r.health().cost();
     boolean unfitAsProbe = s.priority == 0 || s.spec.gang();
-    cost += unfitAsProbe && r.health.isQuarantined() ? PROBE_COST : 0;
+    cost += unfitAsProbe && r.health().isQuarantined() ? PROBE_COST : 0;
     if (!LocalityWait.isLocal(s, r)) {
       cost *= cell.limits.remoteFactor();
     }
-    ResourceVector c = r.description.capacity();
+    ResourceVector c = r.description().capacity();
     double freeFraction = c.milliCores() <= 0 ? 0 : (double) r.free().milliCores() / c.milliCores();
     // Packing runners keeps others empty for gangs; best-effort tasks go where most capacity is
     // free.
--- a/core/src/main/java/dev/dandelionport/core/workflow/Preemption.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Preemption.java
@@ -83,7 +83,7 @@
   }
 
   private Plan plan(Runner r, Step s, Queue q) {
-    if (r.health.isQuarantined()) {
+    if (r.health().isQuarantined()) {
       return null;
     }
     for (Run x : r.runs) {
--- a/core/src/main/java/dev/dandelionport/core/workflow/Run.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Run.java
@@ -37,7 +37,7 @@
   final Runner runner;
 
   /** Incarnation of the runner for which it was intended or that reported it. */
-  long incarnation;
+  Incarnation incarnation;
 
   /** Resources that it occupies on its runner. */
   final ResourceVector reserved;
@@ -79,7 +79,7 @@
 
   long checkpointMillis;
 
-  Run(Task task, int number, Runner runner, long incarnation) {
+  Run(Task task, int number, Runner runner, Incarnation incarnation) {
     this.task = task;
     this.number = number;
     this.runner = runner;
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunLifecycle.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunLifecycle.java
@@ -34,13 +34,13 @@
 
   /** Reserves the runner for a new run of a task, records the intent and emits the start. */
   Run intendStart(Task t, Runner runner, int number) {
-    Run r = new Run(t, number, runner, runner.incarnation);
+    Run r = new Run(t, number, runner, runner.current());
     t.lastRun = Math.max(t.lastRun, number);
     t.run = r;
     cell.startsIntended++;
     cell.occupy(r);
-    r.probe = runner.health.recordStart();
-    cell.addRecord(new Intended(t.key, number, runner.id(), runner.incarnation));
+    r.probe = r.incarnation.health.recordStart();
+    cell.addRecord(new Intended(t.key, number, runner.id(), r.incarnation.startMillis()));
     cell.addEffect(new WorkflowEffect.Start(t.key, number, runner.id()));
     return r;
   }
--- a/core/src/main/java/dev/dandelionport/core/workflow/Runner.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Runner.java
@@ -1,26 +1,36 @@
 package dev.dandelionport.core.workflow;
 
 import dev.dandelionport.core.common.ResourceVector;
+import dev.dandelionport.core.health.FlapDetector;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
-/** The scheduler's view of a runner and of the runs on it. */
+/**
+ * The scheduler's view of a runner and of the runs on it. What the directory and the reports say of
+ * it belongs to one of its incarnations; it gets work only while both speak of the same one.
+ */
 final class Runner {
-  RunnerDescription description;
 
-  /** When the description of this incarnation was first read, on the owner's monotonic clock. */
-  long describedMillis;
+  private final String id;
 
-  /** Whether the directory currently lists it. */
-  boolean listed = true;
+  /** Starts of the runner, over all incarnations. */
+  private final FlapDetector starts = new FlapDetector();
 
-  /**
-   * Incarnation that reported last: its start in milliseconds since 1970; 0 if none has reported.
-   */
-  long incarnation;
+  /** Incarnations that are listed, have reported last or may have runs, by their start. */
+  private final Map<Long, Incarnation> incarnations = new HashMap<>();
 
-  /** When that incarnation first reported, on the owner's monotonic clock. */
-  long incarnationSeenMillis;
+  /** Incarnation that reported last; one without a start if none has reported. */
+  private Incarnation current;
+
+  /** Incarnation of the latest entry; one without a start if there was none. */
+  private Incarnation described;
+
+  /** Whether the directory currently lists it. */
+  boolean listed;
 
   /**
    * Whether the current incarnation has reported to this owner. From then on, it refuses orders of
@@ -28,17 +38,12 @@
    */
   boolean ownerConfirmed;
 
+  /** When the call for the latest report was sent, on the owner's monotonic clock. */
+  private long reportSentMillis = Long.MIN_VALUE;
+
   /** Whether calls to it currently fail. */
   boolean unresponsive;
 
-  /** Highest number of an end that was handled, for the current incarnation. */
-  long lastEndNumber;
-
-  /** Whether its latest report may have left out ends. */
-  boolean endsLeftOut;
-
-  final RunnerHealth health = new RunnerHealth();
-
   /** Runs that may be active, in the order of their start. */
   final Set<Run> runs = new LinkedHashSet<>();
 
@@ -47,21 +52,101 @@
   /** Part of {@link #used} that runs of priority 0 take. */
   ResourceVector urgentUsed = ResourceVector.ZERO;
 
-  Runner(RunnerDescription description) {
-    this.description = description;
+  /** Creates a runner that is not listed and has not reported. */
+  Runner(String id) {
+    this.id = id;
+    this.current = incarnation(0);
+    this.described = current;
   }
 
-  ResourceVector free() {
-    return description.capacity().minus(used);
+  String id() {
+    return id;
   }
 
-  String id() {
-    return description.id();
+  /** Returns the incarnation that began at {@code startMillis} by the runner's wall clock. */
+  Incarnation incarnation(long startMillis) {
+    return incarnations.computeIfAbsent(
+        startMillis, k -> new Incarnation(new IncarnationId(id, k), new RunnerHealth(starts)));
+  }
+
+  /** Returns the incarnation that reported last; one whose start is 0 if none has reported. */
+  Incarnation current() {
+    return current;
+  }
+
+  /** Returns the incarnation that the directory lists or has listed last. */
+  Incarnation described() {
+    return described;
+  }
+
+  /** Returns the description of the current incarnation. */
+  RunnerDescription description() {
+    return current.description;
+  }
+
+  /** Returns the rating of the current incarnation. */
+  RunnerHealth health() {
+    return current.health;
   }
 
-  /** Returns a key of the current incarnation that is unique among all runners and incarnations. */
-  String incarnationKey() {
-    return id() + incarnation;
+  /** Records the entry of an incarnation in the directory. */
+  void list(RunnerDescription d, long now) {
+    listed = true;
+    described = incarnation(d.incarnation());
+    described.description = d;
+    described.listedMillis = described.listedMillis < 0 ? now : described.listedMillis;
+    removeUnusedIncarnations();
+  }
+
+  /**
+   * Records that an incarnation has reported. Returns whether it is another one than before.
+   *
+   * @param sentMillis when the call was sent, on the owner's monotonic clock
+   */
+  boolean recordReport(long startMillis, long sentMillis, long now) {
+    reportSentMillis = Math.max(reportSentMillis, sentMillis);
+    ownerConfirmed = true;
+    unresponsive = false;
+    if (current.startMillis() == startMillis) {
+      return false;
+    }
+    current = incarnation(startMillis);
+    current.reportedMillis = now;
+    starts.recordStart(now);
+    removeUnusedIncarnations();
+    return true;
+  }
+
+  private void removeUnusedIncarnations() {
+    Set<Incarnation> inUse = new HashSet<>(Set.of(current));
+    inUse.add(described);
+    runs.forEach(x -> inUse.add(x.incarnation));
+    incarnations.values().retainAll(inUse);
+  }
+
+  /**
+   * Returns whether the directory lists the incarnation that reported last. Until it does, nothing
+   * is known of the kind and the capacity of the one that would get the work.
+   */
+  boolean isDescribed() {
+    return listed && described == current;
+  }
+
+  /** Returns whether it may get work, regardless of the kind of work. */
+  boolean isReady() {
+    return isDescribed() && ownerConfirmed && !unresponsive && !description().draining();
+  }
+
+  /**
+   * Returns whether the directory lists an incarnation that may have begun after the latest report:
+   * it was first listed after the call for that report was sent.
+   */
+  boolean mayHaveRestarted() {
+    return listed && described != current && described.listedMillis >= reportSentMillis;
+  }
+
+  ResourceVector free() {
+    return description().capacity().minus(used);
   }
 
   void add(Run r) {
@@ -99,8 +184,7 @@
 
   /** Returns the rack, which is the last label; empty without labels. */
   String rack() {
-    return description.labels().isEmpty()
-        ? ""
-        : description.labels().get(description.labels().size() - 1);
+    List<String> labels = description().labels();
+    return labels.isEmpty() ? "" : labels.get(labels.size() - 1);
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerDescription.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerDescription.java
@@ -7,7 +7,7 @@
  * Description of a runner.
  *
  * @param id id of the runner
- * @param incarnation start of this incarnation, milliseconds since 1970; 0 if not stated
+ * @param incarnation start of this incarnation, milliseconds since 1970
  * @param service service, the pool that it belongs to
  * @param address host and port at which it is called
  * @param failureDomain failure domain it is in
@@ -29,4 +29,10 @@
   public RunnerDescription {
     labels = List.copyOf(labels);
   }
+
+  /** Returns the description of an incarnation whose entry is not known: it offers nothing. */
+  static RunnerDescription unknown(String id, long incarnation) {
+    return new RunnerDescription(
+        id, incarnation, "", "", "", ResourceVector.ZERO, List.of(), false);
+  }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerDirectory.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerDirectory.java
@@ -22,23 +22,7 @@
     Set<String> ids = new HashSet<>();
     for (RunnerDescription d : list) {
       ids.add(d.id());
-      Runner r = cell.runners.get(d.id());
-      if (r == null) {
-        r = new Runner(d);
-        r.describedMillis = cell.now;
-        cell.runners.put(d.id(), r);
-        logListed(r, d);
-      } else if (r.description.incarnation() != d.incarnation()) {
-        logListed(r, d);
-      }
-      if (d.draining() && !r.description.draining()) {
-        cell.log(Topic.RUNNER_GONE, "runner", d.id(), "why", "draining");
-      }
-      if (r.description.incarnation() != d.incarnation()) {
-        r.describedMillis = cell.now;
-      }
-      r.description = d;
-      r.listed = true;
+      list(cell.runners.computeIfAbsent(d.id(), Runner::new), d);
     }
     for (Runner r : List.copyOf(cell.runners.values())) {
       if (!ids.contains(r.id())) {
@@ -53,20 +37,34 @@
     }
   }
 
+  private void list(Runner r, RunnerDescription d) {
+    Incarnation before = r.described();
+    boolean wasListed = r.listed;
+    boolean wasDraining = before.description.draining();
+    r.list(d, cell.now);
+    boolean sameIncarnation = wasListed && r.described() == before;
+    if (!sameIncarnation) {
+      logListed(r);
+    }
+    if (d.draining() && !(sameIncarnation && wasDraining)) {
+      cell.log(Topic.RUNNER_GONE, "runner", d.id(), "why", "draining");
+    }
+  }
+
   /** Logs that the directory lists an incarnation that it did not list before. */
-  private void logListed(Runner r, RunnerDescription d) {
-    boolean answered = r.incarnation == d.incarnation();
+  private void logListed(Runner r) {
+    Incarnation x = r.described();
     cell.log(
         Topic.RUNNER_LISTED,
         "runner",
-        d.id(),
+        r.id(),
         "domain",
-        d.failureDomain(),
+        x.description.failureDomain(),
         "born",
-        d.incarnation(),
+        x.startMillis(),
         "answeredBorn",
-        r.incarnation,
+        r.current().startMillis(),
         "waitedMillis",
-        answered ? cell.now - r.incarnationSeenMillis : 0);
+        r.isDescribed() ? cell.now - x.reportedMillis : 0);
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerHealth.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerHealth.java
@@ -47,7 +47,7 @@
       new FailureRating(
           FAILURE_WEIGHT, MAX_FAILURE_RATE, MIN_QUARANTINE_MILLIS, MAX_QUARANTINE_MILLIS);
   private final SpeedRatio speed = new SpeedRatio();
-  private final FlapDetector starts = new FlapDetector();
+  private final FlapDetector starts;
   private final FaultEvidence faults = new FaultEvidence();
   private int suspicions;
   private long quarantineEndMillis;
@@ -55,6 +55,15 @@
   private int neededProbes;
   private int activeProbes;
 
+  /**
+   * Creates the rating of an incarnation of a runner.
+   *
+   * @param starts starts of the runner, over all of its incarnations
+   */
+  RunnerHealth(FlapDetector starts) {
+    this.starts = starts;
+  }
+
   /**
    * Records a run that succeeded. It ends the quarantine, unless the runner has hung several tasks:
    * then a number of probes has to succeed.
@@ -168,16 +177,6 @@
     return unprobed;
   }
 
-  /** Resets the rating for a new incarnation of the runner, which counts as a start now. */
-  void reset(long now) {
-    failures.reset();
-    speed.reset();
-    faults.reset();
-    suspicions = 0;
-    release();
-    starts.recordStart(now);
-  }
-
   /** Returns whether the runner may get runs; if it is quarantined, only one run as a probe. */
   boolean acceptsRuns(long now) {
     return !quarantined || now >= quarantineEndMillis && activeProbes == 0;
--- a/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/RunnerReportHandler.java
@@ -27,14 +27,14 @@
    *     at least everything that the runner confirmed before that time
    */
   void handle(Runner r, RunnerReport report, long sentMillis) {
-    if (r.incarnation != report.incarnation()) {
-      beginIncarnation(r, report.incarnation());
+    Incarnation before = r.current();
+    if (r.recordReport(report.incarnation(), sentMillis, cell.now) && before.startMillis() != 0) {
+      logReborn(r);
     }
-    r.ownerConfirmed = true;
-    r.unresponsive = false;
+    Incarnation current = r.current();
     for (End e : report.ends()) {
-      if (e.number() > r.lastEndNumber) {
-        r.lastEndNumber = e.number();
+      if (e.number() > current.lastEndNumber) {
+        current.lastEndNumber = e.number();
         handleEnd(r, e);
       }
     }
@@ -56,7 +56,7 @@
 
   /** Logs the first of several reports in a row that may have left out ends. */
   private void logEndsLeftOut(Runner r, RunnerReport report, int undecided) {
-    if (!report.endsComplete() && !r.endsLeftOut) {
+    if (!report.endsComplete() && !r.current().endsLeftOut) {
       cell.log(
           Topic.ENDS_LEFT_OUT,
           "runner",
@@ -66,34 +66,29 @@
           "undecided",
           undecided);
     }
-    r.endsLeftOut = !report.endsComplete();
+    r.current().endsLeftOut = !report.endsComplete();
   }
 
-  private void beginIncarnation(Runner r, long incarnation) {
-    if (r.incarnation != 0) {
-      cell.log(
-          Topic.RUNNER_REBORN,
-          "runner",
-          r.id(),
-          "born",
-          incarnation,
-          "runs",
-          r.runs.size(),
-          "listedBorn",
-          r.description.incarnation(),
-          "listedMillis",
-          cell.now - r.describedMillis);
-    }
-    r.incarnation = incarnation;
-    r.incarnationSeenMillis = cell.now;
-    r.lastEndNumber = 0;
-    r.health.reset(cell.now);
+  private void logReborn(Runner r) {
+    Incarnation listed = r.described();
+    cell.log(
+        Topic.RUNNER_REBORN,
+        "runner",
+        r.id(),
+        "born",
+        r.current().startMillis(),
+        "runs",
+        r.runs.size(),
+        "listedBorn",
+        listed.startMillis(),
+        "listedMillis",
+        listed.listedMillis < 0 ? -1 : cell.now - listed.listedMillis);
   }
 
   private void handleEnd(Runner r, End e) {
     Run run = r.findRun(e.task(), e.run());
     if (run != null) {
-      run.incarnation = r.incarnation;
+      setIncarnation(run);
       runs.end(run, e.outcome(), e.checkpoint());
     } else if (e.outcome() == RunEnd.DONE) {
       // The run was given up while the runner was silent, but had completed before its lease ended.
@@ -103,10 +98,7 @@
 
   private void handleRunning(Run run, Running x) {
     confirm(run);
-    if (!run.inherited && run.incarnation != run.runner.incarnation) {
-      logOtherIncarnation(run);
-    }
-    run.incarnation = run.runner.incarnation;
+    setIncarnation(run);
     if (!x.checkpoint().equals(run.checkpoint)) {
       run.checkpoint = x.checkpoint();
       run.checkpointMillis = cell.now;
@@ -119,20 +111,27 @@
     }
   }
 
-  /** Logs a run whose start was sent to an earlier incarnation and carried out by this one. */
-  private void logOtherIncarnation(Run run) {
-    cell.log(
-        Topic.RUN_IN_OTHER_INCARNATION,
-        "task",
-        run.task.key.toString(),
-        "run",
-        run.number,
-        "runner",
-        run.runner.id(),
-        "intendedBorn",
-        run.incarnation,
-        "born",
-        run.runner.incarnation);
+  /**
+   * Assigns a reported run to the incarnation that reported it. A start in transit while its runner
+   * restarts may be carried out by an incarnation that it was not meant for.
+   */
+  private void setIncarnation(Run run) {
+    Incarnation reporting = run.runner.current();
+    if (run.incarnation != reporting) {
+      cell.log(
+          Topic.RUN_IN_OTHER_INCARNATION,
+          "task",
+          run.task.key.toString(),
+          "run",
+          run.number,
+          "runner",
+          run.runner.id(),
+          "intendedBorn",
+          run.incarnation.startMillis(),
+          "born",
+          reporting.startMillis());
+      run.incarnation = reporting;
+    }
   }
 
   /** Records that a runner has confirmed a run. */
@@ -151,7 +150,7 @@
    * this does not show whether the run has ended as done.
    */
   private void handleUnlisted(Run run, boolean endsComplete, long sentMillis) {
-    boolean ofThisIncarnation = run.incarnation == run.runner.incarnation;
+    boolean ofThisIncarnation = run.incarnation == run.runner.current();
     if (!ofThisIncarnation
         && !run.inherited
         && run.phase != Phase.CONFIRMED
--- a/core/src/main/java/dev/dandelionport/core/workflow/StartHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/StartHandler.java
@@ -43,38 +43,17 @@
     }
     Step s = r.task.step;
     Queue q = cell.queueOf(s);
-    Step.Ticket ticket = s.tickets.get(r.runner.id());
+    Step.Ticket ticket = s.tickets.get(r.incarnation.id);
     boolean maySend =
         q != null
             && !s.workflow.state.isFinal()
-            && r.incarnation == r.runner.incarnation
-            && cell.takesWork(r.runner, q)
-            && (q.advice().isEmpty()
-                || ticket != null
-                    && ticket.incarnation() == r.incarnation
-                    && cell.now < ticket.validUntilMillis());
+            && r.incarnation == r.runner.current()
+            && cell.mayRun(r.runner, s, q)
+            && (q.advice().isEmpty() || ticket != null && cell.now < ticket.validUntilMillis());
     if (!maySend) {
       runs.end(r, RunEnd.NEVER_STARTED, "");
       return Optional.empty();
     }
-    if (r.runner.description.incarnation() != r.runner.incarnation) {
-      cell.log(
-          Topic.START_BY_OTHER_DESCRIPTION,
-          "task",
-          task.toString(),
-          "run",
-          run,
-          "runner",
-          runner,
-          "describedBorn",
-          r.runner.description.incarnation(),
-          "describedMillis",
-          cell.now - r.runner.describedMillis,
-          "answeredBorn",
-          r.runner.incarnation,
-          "answeredMillis",
-          cell.now - r.runner.incarnationSeenMillis);
-    }
     r.phase = Phase.UNCONFIRMED;
     r.startSentMillis = cell.now;
     String ticketValue = ticket == null ? "" : ticket.value();
@@ -104,9 +83,9 @@
     cell.log(
         Topic.ENDED, "task", task.toString(), "run", run, "runner", runner, "how", result.name());
     if (result == StartResult.NO_TICKET) {
-      advice.removeTicket(r.task.step, r.runner);
+      r.task.step.tickets.remove(r.incarnation.id);
     } else if (result == StartResult.UNHEALTHY) {
-      r.runner.health.recordFailure(cell.now, r.probe);
+      r.runner.health().recordFailure(cell.now, r.probe);
     }
     runs.end(r, RunEnd.NEVER_STARTED, "");
     delayRetry(r.task);
--- a/core/src/main/java/dev/dandelionport/core/workflow/Step.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Step.java
@@ -12,7 +12,7 @@
 final class Step {
 
   /** Permission of the advice service to run the step on one incarnation of a runner. */
-  record Ticket(String value, long incarnation, long validUntilMillis) {}
+  record Ticket(String value, long validUntilMillis) {}
 
   final Workflow workflow;
   final StepKey key;
@@ -40,20 +40,20 @@
   /** When its dependencies were done, on the owner's monotonic clock; -1 if they are not. */
   long readyMillis = -1;
 
-  /** Tickets by runner id, in the order of the ids. */
-  final Map<String, Ticket> tickets = new TreeMap<>();
+  /** Tickets by incarnation of a runner, in the order of the runners' ids. */
+  final Map<IncarnationId, Ticket> tickets = new TreeMap<>();
 
   /** Incarnations of runners that may run the step; the decision never changes. */
-  final Set<String> allowed = new HashSet<>();
+  final Set<IncarnationId> allowed = new HashSet<>();
 
   /** Incarnations of runners that may not run the step. */
-  final Set<String> denied = new HashSet<>();
+  final Set<IncarnationId> denied = new HashSet<>();
 
   /** Number of pending advice calls. */
   int pendingAdviceCalls;
 
   /** Incarnations of the runners named in pending advice calls, by runner id. */
-  final Map<String, Long> pendingAdviceRunners = new HashMap<>();
+  final Map<String, IncarnationId> pendingAdviceRunners = new HashMap<>();
 
   /** When the next advice call may be made, on the owner's monotonic clock. */
   long nextAdviceMillis;
@@ -168,14 +168,19 @@
     return false;
   }
 
+  /** Returns the ticket for the current incarnation of a runner, or null. */
+  Ticket ticketFor(Runner r) {
+    return tickets.get(r.current().id);
+  }
+
   /** Returns whether advice has allowed the current incarnation of a runner. */
   boolean isAllowed(Runner r) {
-    return allowed.contains(r.incarnationKey());
+    return allowed.contains(r.current().id);
   }
 
   /** Returns whether advice has denied the current incarnation of a runner. */
   boolean isDenied(Runner r) {
-    return denied.contains(r.incarnationKey());
+    return denied.contains(r.current().id);
   }
 
   boolean hasRuns() {
--- a/core/src/main/java/dev/dandelionport/core/workflow/StepCapacity.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/StepCapacity.java
@@ -52,7 +52,7 @@
     for (Runner r : cell.runners.values()) {
       if (placement.isUsable(r, s, q)) {
         count(placement, r, s, q);
-      } else if (r.description.service().equals(q.service())) {
+      } else if (r.described().description.service().equals(q.service())) {
         unusable.merge(unusableReason(r, s), 1, Integer::sum);
       }
     }
@@ -65,7 +65,7 @@
       denied.add(tasks, tasksWithHeadroom);
       return;
     }
-    ResourceVector capacity = r.description.capacity();
+    ResourceVector capacity = r.description().capacity();
     fittingOnEmpty += placement.countFittingIn(capacity, r, s);
     if (q.advice().isEmpty() || s.isAllowed(r)) {
       allowed.add(tasks, tasksWithHeadroom);
@@ -84,12 +84,14 @@
       return "notAnswered";
     } else if (r.unresponsive) {
       return "silent";
-    } else if (r.description.draining()) {
+    } else if (!r.isDescribed()) {
+      return "entryOfOtherIncarnation";
+    } else if (r.description().draining()) {
       return "draining";
-    } else if (cell.closedDomains.contains(r.description.failureDomain())) {
+    } else if (cell.closedDomains.contains(r.description().failureDomain())) {
       return "domainClosed";
     } else if (!s.spec.requiredLabel().isEmpty()
-        && !r.description.labels().contains(s.spec.requiredLabel())) {
+        && !r.description().labels().contains(s.spec.requiredLabel())) {
       return "label";
     }
     return "held";
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowEffect.java
@@ -37,7 +37,6 @@
     RUNNER_HELD,
     RUNNER_REBORN,
     RUN_IN_OTHER_INCARNATION,
-    START_BY_OTHER_DESCRIPTION,
     RUNNER_LISTED,
     RUNNER_GONE,
     ENDS_LEFT_OUT,
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowReplay.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowReplay.java
@@ -1,6 +1,5 @@
 package dev.dandelionport.core.workflow;
 
-import dev.dandelionport.core.common.ResourceVector;
 import dev.dandelionport.core.workflow.Run.Phase;
 import dev.dandelionport.core.workflow.WorkflowRecord.Accepted;
 import dev.dandelionport.core.workflow.WorkflowRecord.Closed;
@@ -66,9 +65,8 @@
     if (t == null) {
       return;
     }
-    Runner runner =
-        cell.runners.computeIfAbsent(i.runner(), k -> unlistedRunner(k, i.incarnation()));
-    Run r = new Run(t, i.run(), runner, i.incarnation());
+    Runner runner = cell.runners.computeIfAbsent(i.runner(), Runner::new);
+    Run r = new Run(t, i.run(), runner, runner.incarnation(i.incarnation()));
     r.phase = Phase.UNCONFIRMED;
     r.inherited = true;
     t.run = r;
@@ -80,14 +78,6 @@
     cell.occupy(r);
   }
 
-  private static Runner unlistedRunner(String id, long incarnation) {
-    RunnerDescription d =
-        new RunnerDescription(id, incarnation, "", "", "", ResourceVector.ZERO, List.of(), false);
-    Runner r = new Runner(d);
-    r.listed = false;
-    return r;
-  }
-
   private void applyEnded(Ended e) {
     Task t = taskOf(e.task());
     if (t == null) {
@@ -180,7 +170,8 @@
     }
     if (t.run != null) {
       all.add(
-          new WorkflowRecord.Intended(t.key, t.run.number, t.run.runner.id(), t.run.incarnation));
+          new WorkflowRecord.Intended(
+              t.key, t.run.number, t.run.runner.id(), t.run.incarnation.startMillis()));
     }
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/WorkflowScheduler.java
@@ -251,7 +251,16 @@
   /** Returns whether a runner is listed but must report to this owner before it gets work. */
   public boolean needsReport(String runner) {
     Runner r = cell.runners.get(runner);
-    return r != null && r.listed && !r.ownerConfirmed;
+    return r != null && r.listed && (!r.ownerConfirmed || r.mayHaveRestarted());
+  }
+
+  /**
+   * Returns whether the directory lists an incarnation of a runner that may have begun after the
+   * runner's latest report.
+   */
+  public boolean mayHaveRestarted(String runner) {
+    Runner r = cell.runners.get(runner);
+    return r != null && r.mayHaveRestarted();
   }
 
   /** Returns whether the directory currently lists a runner. */
--- a/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeRunners.java
@@ -80,6 +80,9 @@
 
   private final Map<String, Integer> ordersInFlight = new HashMap<>();
 
+  /** Told the id of each runner that has restarted. */
+  Consumer<String> restartListener = id -> {};
+
   FakeRunners(VirtualTime time, int count) {
     this.time = time;
     for (int i = 0; i < count; i++) {
@@ -99,6 +102,12 @@
     s.leaseUntilMillis = 0;
     s.lastEndNumber = 0;
     s.clockStartMillis = time.nowMillis();
+    restartListener.accept(id);
+  }
+
+  /** Returns the current incarnation of a runner. */
+  long incarnation(String id) {
+    return runners.get(id).incarnation;
   }
 
   private long clockMillis(State s) {
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformCluster.java
@@ -53,6 +53,9 @@
   private static final int ALLOWED_PERCENT = 60;
   private static final long SLOW_ADVICE_MILLIS = 900;
 
+  /** Time from a restart of a runner to the entry of the new incarnation, in milliseconds. */
+  private static final long REGISTRATION_MILLIS = 250;
+
   final VirtualTime time;
   final FakeSharedStore store;
   final PlatformInvariants invariants = new PlatformInvariants();
@@ -60,6 +63,7 @@
   final WorkflowCluster cluster;
   final List<String> trace = new ArrayList<>();
   private final long seed;
+  private final Map<String, String> states = new HashMap<>();
   private final Map<Long, ClusterPolicy> policies = new HashMap<>();
   private final Map<String, Long> adviceBusyUntilMillis = new HashMap<>();
   private long version;
@@ -75,6 +79,7 @@
     for (int i = 0; i < RUNNERS; i++) {
       putRunner("r" + i, "ready");
     }
+    runners.restartListener = this::putRestartedRunner;
     WorkflowCluster.Dependencies dependencies =
         new WorkflowCluster.Dependencies(
             (n, p) -> new PlatformRunnerCalls(runners, n, p),
@@ -86,7 +91,8 @@
 
   /** Writes the entry of a runner; an unknown state makes the entry unreadable. */
   void putRunner(String runner, String state) {
-    store.put("runners/" + runner, state);
+    states.put(runner, state);
+    store.put("runners/" + runner, state + " " + runners.startMillis(runner));
     if (state.equals("ready")) {
       invariants.setInService(runner);
     } else {
@@ -94,6 +100,17 @@
     }
   }
 
+  /** Replaces the entry of the former incarnation, a while after the restart. */
+  private void putRestartedRunner(String runner) {
+    time.afterMillis(
+        REGISTRATION_MILLIS,
+        () -> {
+          if (store.keys().contains("runners/" + runner)) {
+            putRunner(runner, states.get(runner));
+          }
+        });
+  }
+
   void removeRunner(String runner) {
     store.remove("runners/" + runner);
     invariants.setOutOfService(runner, time.nowMillis());
@@ -144,8 +161,8 @@
   }
 
   /**
-   * Decodes runner entries that contain only a state, and configurations that contain only a
-   * version.
+   * Decodes runner entries that contain only a state and the start of the runner, and
+   * configurations that contain only a version.
    */
   private final class PlatformSchema implements StoreSchema {
     @Override
@@ -160,21 +177,21 @@
 
     @Override
     public Optional<RunnerDescription> decodeRunner(Entry e) {
-      String state = new String(e.value(), StandardCharsets.UTF_8);
-      if (!state.equals("ready") && !state.equals("draining")) {
+      String[] fields = new String(e.value(), StandardCharsets.UTF_8).split(" ");
+      if (!fields[0].equals("ready") && !fields[0].equals("draining")) {
         return Optional.empty();
       }
       String id = e.key().substring("runners/".length());
       return Optional.of(
           new RunnerDescription(
               id,
-              0,
+              Long.parseLong(fields[1]),
               "svc",
               id,
               domain(id),
               PlatformRunners.CAPACITY,
               List.of("rack-" + domain(id)),
-              state.equals("draining")));
+              fields[0].equals("draining")));
     }
 
     @Override
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunners.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiPredicate;
+import java.util.function.Consumer;
 
 /**
  * Fake runners in virtual time with restarts, clocks of different speed, gangs, checkpoints,
@@ -131,6 +132,9 @@
 
   int starts;
 
+  /** Told the id of each runner that has restarted. */
+  Consumer<String> restartListener = id -> {};
+
   PlatformRunners(
       VirtualTime time,
       PlatformInvariants invariants,
@@ -173,6 +177,7 @@
     long firstClock = firstClocks.nextInt(maxFirstClockMillis);
     long now = time.nowMillis();
     incarnations.put(id, new Incarnation(now - lateMillis, now, firstClock, rate));
+    restartListener.accept(id);
   }
 
   /** Ends a runner and all its runs. */
--- a/core/src/test/java/dev/dandelionport/core/dispatch/RunnerLinkTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/RunnerLinkTest.java
@@ -74,4 +74,19 @@
     assertThat(cell.state("w")).contains(WorkflowState.COMPLETED);
     assertThat(cell.invariants.violations).isEmpty();
   }
+
+  // An idle runner is not called: a restart was noticed only with its next task, seconds after its
+  // entry had shown it, and that task was placed by what was known of the earlier incarnation.
+  @Test
+  void idleRunnersThatRestartReportOnceTheirEntriesAreListed() {
+    PlatformCluster cell = new PlatformCluster(3);
+    cell.time.runFor(2_000);
+    for (int i = 0; i < PlatformCluster.RUNNERS; i++) {
+      cell.runners.restart("r" + i);
+    }
+    cell.time.runFor(1_000);
+    assertThat(cell.trace)
+        .filteredOn(x -> x.contains("RUNNER_REBORN"))
+        .hasSize(PlatformCluster.RUNNERS);
+  }
 }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -19,6 +19,7 @@
 import dev.dandelionport.core.workflow.WorkflowCodec;
 import dev.dandelionport.core.workflow.WorkflowLimits;
 import dev.dandelionport.core.workflow.WorkflowSpec;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -34,6 +35,9 @@
 
   private static final int RUNNERS = 6;
 
+  /** Time from a restart of a runner to the entry of the new incarnation, in milliseconds. */
+  private static final long REGISTRATION_MILLIS = 250;
+
   /** Runner whose entry makes the schema fail. */
   static final String ODD_RUNNER = "odd";
 
@@ -112,7 +116,7 @@
       return Optional.of(
           new RunnerDescription(
               id,
-              0,
+              Long.parseLong(new String(e.value(), StandardCharsets.UTF_8)),
               "svc",
               id,
               "fd",
@@ -184,14 +188,30 @@
             new PlainSchema(),
             reports::add);
     for (int i = 0; i < RUNNERS; i++) {
-      store.put("runners/r" + i, "");
+      putRunner("r" + i);
     }
+    runners.restartListener = this::putRestartedRunner;
     store.put("op/config", "");
     for (int i = 0; i < count; i++) {
       start("n" + i);
     }
   }
 
+  /** Writes the entry of the current incarnation of a runner. */
+  void putRunner(String runner) {
+    store.put("runners/" + runner, Long.toString(runners.incarnation(runner)));
+  }
+
+  private void putRestartedRunner(String runner) {
+    time.afterMillis(
+        REGISTRATION_MILLIS,
+        () -> {
+          if (store.keys().contains("runners/" + runner)) {
+            putRunner(runner);
+          }
+        });
+  }
+
   long capacity(String name) {
     return capacities.getOrDefault(name, DEFAULT_CAPACITY);
   }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -200,7 +200,7 @@
     c.runners.cutLinks.add("r0");
     assertThat(await(c, c.cancel(c.anyNode(), "w")).status()).isEqualTo(WorkflowStatus.OK);
     assertThat(await(c, c.submit(c.anyNode(), "x", step(1))).status()).isEqualTo(WorkflowStatus.OK);
-    c.store.put("runners/r1", "");
+    c.putRunner("r1");
     c.time.runFor(3_000);
     assertThat(isCompleted(c, "x")).isTrue();
   }
@@ -246,7 +246,7 @@
     for (int i = 0; i < 6; i++) {
       c.store.remove("runners/r" + i);
     }
-    c.store.put("runners/" + runner, "");
+    c.putRunner(runner);
     assertThat(await(c, c.submit(c.anyNode(), "x", step(1))).status()).isEqualTo(WorkflowStatus.OK);
     c.time.runFor(2_000);
     assertThat(isCompleted(c, "x")).isTrue();
@@ -298,7 +298,7 @@
     }
     c.time.runFor(3_000);
     for (int i = 0; i < 6; i++) {
-      c.store.put("runners/r" + i, "");
+      c.putRunner("r" + i);
     }
     c.time.runFor(2_000);
     assertThat(await(c, c.submit(c.anyNode(), "w", step(6))).status()).isEqualTo(WorkflowStatus.OK);
--- a/core/src/test/java/dev/dandelionport/core/testing/StepSpecs.java
+++ b/core/src/test/java/dev/dandelionport/core/testing/StepSpecs.java
@@ -50,8 +50,25 @@
     return copy(s, s.sameRack(), s.dataRack(), maxPerRunner, s.longRunning(), s.bestEffort());
   }
 
+  /** Returns a copy of a step that requires a label of its runners. */
+  public static StepSpec requiring(StepSpec s, String label) {
+    return copy(
+        s, label, s.sameRack(), s.dataRack(), s.maxPerRunner(), s.longRunning(), s.bestEffort());
+  }
+
+  private static StepSpec copy(
+      StepSpec s,
+      boolean oneRack,
+      String dataRack,
+      int maxPerRunner,
+      boolean longRunning,
+      boolean bestEffort) {
+    return copy(s, s.requiredLabel(), oneRack, dataRack, maxPerRunner, longRunning, bestEffort);
+  }
+
   private static StepSpec copy(
       StepSpec s,
+      String requiredLabel,
       boolean oneRack,
       String dataRack,
       int maxPerRunner,
@@ -65,7 +82,7 @@
         s.checkpoints(),
         s.gang(),
         oneRack,
-        s.requiredLabel(),
+        requiredLabel,
         dataRack,
         maxPerRunner,
         s.speculative(),
--- a/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/AdviceSimulation.java
@@ -58,6 +58,7 @@
   /** Number of calls that the service rejected. */
   int refusedCalls;
 
+  private final Map<String, RunnerDescription> descriptions = new TreeMap<>();
   private final Map<String, List<WorkflowEffect.Start>> running = new HashMap<>();
   private final Map<String, Long> placedMillis = new HashMap<>();
 
@@ -84,16 +85,16 @@
     queues.put(PLAIN, queue(PLAIN, 2, Optional.empty()));
     Account account = new Account("a", List.of("key"), 1_000, ResourceVector.ZERO);
     scheduler.setPolicy(new ClusterPolicy(1, queues, Map.of(), Map.of("a", account)));
-    List<RunnerDescription> list = new ArrayList<>();
     for (int i = 0; i < runnerCount; i++) {
       String id = String.format("r%03d", i);
       List<String> labels = List.of(id, "rack" + i / RUNNERS_PER_RACK);
-      list.add(
+      descriptions.put(
+          id,
           new RunnerDescription(
               id, 1, "svc", id + ":1", "fd" + i % DOMAINS, CAPACITY, labels, false));
       runners.add(id);
     }
-    scheduler.setRunners(list);
+    scheduler.setRunners(List.copyOf(descriptions.values()));
     for (String id : runners) {
       scheduler.report(id, new RunnerReport(1, now, List.of(), List.of(), true), now);
     }
@@ -281,6 +282,8 @@
   /** Restarts a runner that has no runs. */
   void restartRunner(String runner) {
     updateTime();
+    descriptions.computeIfPresent(runner, (k, d) -> WorkflowFixture.restarted(d, 2));
+    scheduler.setRunners(List.copyOf(descriptions.values()));
     scheduler.report(runner, new RunnerReport(2, now, List.of(), List.of(), true), now);
     carryOut();
   }
--- a/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/CellSimulation.java
@@ -134,7 +134,7 @@
   private final Map<String, Submission> submissions = new TreeMap<>();
   private final Map<String, Long> completedMillis = new HashMap<>();
   private final Map<StepKey, List<ActiveRun>> gangs = new HashMap<>();
-  private final Map<String, Long> incarnations = new HashMap<>();
+  private final Map<String, RunnerDescription> descriptions = new TreeMap<>();
   private final CellFaults faults;
 
   /** What happened to the runs and runners. */
@@ -219,15 +219,15 @@
     Map<String, Account> accountsByName = new HashMap<>();
     accounts.forEach(a -> accountsByName.put(a.name(), a));
     scheduler.setPolicy(new ClusterPolicy(1, queues, Map.of(), accountsByName));
-    List<RunnerDescription> list = new ArrayList<>();
     for (int i = 0; i < runners; i++) {
       String id = String.format("r%03d", i);
       activeRuns.put(id, new HashMap<>());
       unreportedEnds.put(id, new ArrayList<>());
       List<String> labels = List.of("kind", rackOf(id));
-      list.add(new RunnerDescription(id, 1, "svc", id, "fd" + i % 3, capacity, labels, false));
+      descriptions.put(
+          id, new RunnerDescription(id, 1, "svc", id, "fd" + i % 3, capacity, labels, false));
     }
-    scheduler.setRunners(list);
+    scheduler.setRunners(List.copyOf(descriptions.values()));
     activeRuns.keySet().forEach(this::report);
     for (String r : activeRuns.keySet()) {
       if (faults.hangs(r)) {
@@ -244,7 +244,9 @@
     lost.forEach(a -> counts.addLost());
     lost.forEach(a -> end(a, RunEnd.BROKEN));
     unreportedEnds.get(runner).clear();
-    incarnations.merge(runner, 1L, Long::sum);
+    RunnerDescription d = descriptions.get(runner);
+    descriptions.put(runner, WorkflowFixture.restarted(d, d.incarnation() + 1));
+    scheduler.setRunners(List.copyOf(descriptions.values()));
     report(runner);
     schedule(now + CellFaults.FLAP_MILLIS, () -> restart(runner));
   }
@@ -503,7 +505,7 @@
           savedIntervals == 0 ? "" : Long.toString(savedIntervals * CHECKPOINT_MILLIS);
       list.add(new RunnerReport.Running(a.start.task(), a.start.run(), checkpoint, 100, 0));
     }
-    long incarnation = incarnations.getOrDefault(runner, 1L);
+    long incarnation = descriptions.get(runner).incarnation();
     scheduler.report(
         runner, new RunnerReport(incarnation, now, list, unreportedEnds.get(runner), true), now);
     unreportedEnds.get(runner).clear();
--- a/core/src/test/java/dev/dandelionport/core/workflow/LeftOutEndsTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/LeftOutEndsTest.java
@@ -104,6 +104,7 @@
   private static void report(
       WorkflowFixture f, long incarnation, boolean endsComplete, End... ends) {
     f.now += 1_000;
+    f.list(RUNNER, incarnation, WorkflowFixture.CAPACITY, "a");
     f.updateTime();
     f.scheduler.report(
         RUNNER,
--- a/core/src/test/java/dev/dandelionport/core/workflow/RunnerHealthTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/RunnerHealthTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.dandelionport.core.health.FlapDetector;
 import org.junit.jupiter.api.Test;
 
 class RunnerHealthTest {
@@ -10,7 +11,7 @@
   // probed again.
   @Test
   void runnerIsProbedAgainAfterFailedProbe() {
-    RunnerHealth health = new RunnerHealth();
+    RunnerHealth health = new RunnerHealth(new FlapDetector());
     health.quarantine(0);
     assertThat(health.acceptsRuns(500)).isFalse();
     assertThat(health.acceptsRuns(1_000)).isTrue();
--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 /** A scheduler with two runners, and shorthand methods for the events of the tests. */
 final class WorkflowFixture {
@@ -19,6 +20,10 @@
   final List<WorkflowRecord> journal = new ArrayList<>();
   final List<WorkflowEffect> effects = new ArrayList<>();
   final Set<String> draining = new java.util.HashSet<>();
+
+  /** Entries of the runners, by id. */
+  private final Map<String, RunnerDescription> entries = new TreeMap<>();
+
   long now = 10_000;
   private long lastEndNumber;
 
@@ -48,7 +53,8 @@
     history.forEach(scheduler::replay);
     scheduler.finishReplay();
     scheduler.setPolicy(policy(1, ResourceVector.ZERO));
-    updateRunners();
+    list("r1", 1, CAPACITY, "a");
+    list("r2", 1, CAPACITY, "a");
   }
 
   static ClusterPolicy policy(long version, ResourceVector ceiling) {
@@ -63,12 +69,42 @@
   }
 
   void updateRunners() {
-    scheduler.setRunners(List.of(runner("r1"), runner("r2")));
+    entries.replaceAll(
+        (id, d) ->
+            new RunnerDescription(
+                id,
+                d.incarnation(),
+                d.service(),
+                d.address(),
+                d.failureDomain(),
+                d.capacity(),
+                d.labels(),
+                draining.contains(id)));
+    scheduler.setRunners(List.copyOf(entries.values()));
+  }
+
+  /** Reads the first entry of an incarnation of a runner. */
+  void list(String id, long incarnation, ResourceVector capacity, String kind) {
+    entries.put(
+        id,
+        new RunnerDescription(
+            id, incarnation, "svc", id + ":1", "fd-" + id, capacity, List.of(kind, "rack"), false));
+    updateTime();
+    updateRunners();
+    collectDecision();
   }
 
-  private RunnerDescription runner(String id) {
+  /** Returns the description of the next incarnation of a runner. */
+  static RunnerDescription restarted(RunnerDescription d, long incarnation) {
     return new RunnerDescription(
-        id, 1, "svc", id + ":1", "fd-" + id, CAPACITY, List.of("a", "rack"), draining.contains(id));
+        d.id(),
+        incarnation,
+        d.service(),
+        d.address(),
+        d.failureDomain(),
+        d.capacity(),
+        d.labels(),
+        d.draining());
   }
 
   static StepSpec step(int tasks, long milliCores, Integer... dependencies) {
