Rate each incarnation of a runner by its own runs only

What callers saw: after a runner had restarted, tasks waited although it was sound and empty; it was held back for refusals of its former incarnation.

Cause: refused starts, stuck runs and probes were recorded with the rating of the runner's present incarnation, whichever one they concerned; only failed ends and the blame for hung runs were compared first. Answers of the former incarnation can be read after the first report of the next one.

Change: the rating is part of Incarnation, and all of them are recorded with the incarnation of the run. The two comparisons go. RUNNER_HELD names the incarnation (`born`).

Evidence and result: IncarnationTest.refusalsOfFormerIncarnationDoNotHoldBackTheNextOne fails on (0 of 4 urgent tasks placed) and passes now. Found by reading the paths that depend on an incarnation; not seen in a play.

--- a/core/src/main/java/dev/dandelionport/core/workflow/HealthRecorder.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/HealthRecorder.java
@@ -46,13 +46,13 @@
       // It may wait for any of its members.
       return;
     }
-    RunnerHealth h = x.runner.health();
+    RunnerHealth h = x.incarnation.health;
     boolean wasQuarantined = h.isQuarantined();
     // Without its completed runs, which a runner that hangs since then may have had before.
     double faultOfAnyRunner = cell.runTimes.stopOutcomes(x.task.step).faultProbability(1);
     boolean likely = Math.max(faultOfAnyRunner, faultProbability(x)) >= LIKELY;
     h.recordSuspicion(cell.now, likely, x.probe);
-    logIfChanged(x.runner, wasQuarantined, reason);
+    logIfChanged(x.incarnation, wasQuarantined, reason);
   }
 
   private static List<Run> members(Run x) {
@@ -73,7 +73,7 @@
   /** Returns the probability that the runner of a conspicuous run is at fault. */
   double faultProbability(Run x) {
     double average = cell.runTimes.faultRate();
-    RunnerHealth h = x.runner.health();
+    RunnerHealth h = x.incarnation.health;
     StopOutcomes outcomes = cell.runTimes.stopOutcomes(x.task.step);
     return x.previousStuckCount > 0
         ? outcomes.repeatedFaultProbability(h.faultRate(average))
@@ -82,18 +82,18 @@
 
   /** Records the end of a run before the state of its task is updated. */
   void recordEnd(Run r, RunEnd outcome) {
-    RunnerHealth h = r.runner.health();
+    RunnerHealth h = r.incarnation.health;
     Task t = r.task;
     boolean wasQuarantined = h.isQuarantined();
     if (outcome == RunEnd.DONE && r.startSentMillis > 0) {
       h.recordSuccess(r.probe);
       recordRunTime(r, cell.now - r.startSentMillis);
-    } else if (outcome == RunEnd.FAILED && t.failures == 0 && r.incarnation == r.runner.current()) {
+    } else if (outcome == RunEnd.FAILED && t.failures == 0) {
       h.recordFailure(cell.now, r.probe);
     } else if (r.probe) {
       h.recordInconclusiveProbe();
     }
-    logIfChanged(r.runner, wasQuarantined, outcome.name());
+    logIfChanged(r.incarnation, wasQuarantined, outcome.name());
   }
 
   private void recordRunTime(Run r, long runMillis) {
@@ -114,7 +114,7 @@
       double ratio = cell.runTimes.recordRun(t.step, runMillis);
       if (!t.step.spec.gang()) {
         t.step.longestRunMillis = Math.max(t.step.longestRunMillis, runMillis);
-        r.runner.health().recordSpeed(ratio);
+        r.incarnation.health.recordSpeed(ratio);
       }
     }
   }
@@ -150,31 +150,39 @@
   /** Shares the blame for a run that hung among its runners, by how often runs hang there. */
   private void blame(Suspects s, boolean isLong) {
     double average = cell.runTimes.faultRate();
-    double sum = s.runs().stream().mapToDouble(x -> x.runner.health().faultRate(average)).sum();
+    double sum = s.runs().stream().mapToDouble(x -> x.incarnation.health.faultRate(average)).sum();
     for (Run x : s.runs()) {
-      if (x.incarnation == x.runner.current()) {
-        boolean wasQuarantined = x.runner.health().isQuarantined();
-        if (isLong) {
-          x.runner.health().clearSuspicion();
-        } else {
-          x.runner.health().recordFault(cell.now, x.runner.health().faultRate(average) / sum);
-        }
-        logIfChanged(x.runner, wasQuarantined, isLong ? "task is long" : "task hung here only");
+      RunnerHealth h = x.incarnation.health;
+      boolean wasQuarantined = h.isQuarantined();
+      if (isLong) {
+        h.clearSuspicion();
+      } else {
+        h.recordFault(cell.now, h.faultRate(average) / sum);
       }
+      logIfChanged(x.incarnation, wasQuarantined, isLong ? "task is long" : "task hung here only");
     }
   }
 
-  private void logIfChanged(Runner r, boolean wasQuarantined, String cause) {
-    boolean quarantined = r.health().isQuarantined();
+  private void logIfChanged(Incarnation x, boolean wasQuarantined, String cause) {
+    boolean quarantined = x.health.isQuarantined();
     if (quarantined != wasQuarantined) {
-      cell.log(Topic.RUNNER_HELD, "runner", r.id(), "held", quarantined, "cause", cause);
+      cell.log(
+          Topic.RUNNER_HELD,
+          "runner",
+          x.id.runner(),
+          "born",
+          x.startMillis(),
+          "held",
+          quarantined,
+          "cause",
+          cause);
     }
   }
 
   /** Ends the quarantine of a runner that got no probe. */
   void releaseIfUnprobed(Runner r) {
     if (r.health().releaseIfUnprobed(cell.now)) {
-      logIfChanged(r, true, "not probed");
+      logIfChanged(r.current(), true, "not probed");
     }
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/workflow/StartHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/StartHandler.java
@@ -85,7 +85,7 @@
     if (result == StartResult.NO_TICKET) {
       r.task.step.tickets.remove(r.incarnation.id);
     } else if (result == StartResult.UNHEALTHY) {
-      r.runner.health().recordFailure(cell.now, r.probe);
+      r.incarnation.health.recordFailure(cell.now, r.probe);
     }
     runs.end(r, RunEnd.NEVER_STARTED, "");
     delayRetry(r.task);
--- a/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
+++ b/core/src/main/java/dev/dandelionport/core/workflow/Watchdog.java
@@ -118,7 +118,7 @@
   private void endLastingProbe(Run x) {
     if (x.probe && cell.now - x.confirmedMillis >= LASTING_PROBE_MILLIS) {
       x.probe = false;
-      x.runner.health().recordInconclusiveProbe();
+      x.incarnation.health.recordInconclusiveProbe();
     }
   }
 
--- a/core/src/test/java/dev/dandelionport/core/workflow/IncarnationTest.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/IncarnationTest.java
@@ -160,4 +160,22 @@
     fixture.updateRunners();
     assertThat(fixture.scheduler.needsReport("r1")).isFalse();
   }
+
+  // Starts that the former incarnation had refused were answered after the report of the next one,
+  // which was then held back as failing.
+  @Test
+  void refusalsOfFormerIncarnationDoNotHoldBackTheNextOne() {
+    fixture.submit("w", "batch", WorkflowFixture.step(8, 100));
+    List<Start> starts = fixture.starts();
+    starts.forEach(s -> fixture.scheduler.prepareStart(s.task(), s.run(), s.runner()));
+    fixture.list("r1", 2, WorkflowFixture.CAPACITY, "a");
+    report(2);
+    starts.forEach(s -> handleResult(s, StartResult.UNHEALTHY));
+    fixture.submit("x", "urgent", WorkflowFixture.step(4, 100));
+    assertThat(fixture.starts()).filteredOn(s -> s.task().workflow().equals("x")).hasSize(4);
+  }
+
+  private void handleResult(Start s, StartResult result) {
+    fixture.scheduler.handleStartResult(s.task(), s.run(), s.runner(), result);
+  }
 }
