Stand-in platform writes the start of its runners into their entries

Cause: the stand-in's entries lacked `born`, which the platform's entries always have; since its runners got no work, because their entry and their reports named different incarnations.

Change: entries carry the start that the reports name.

--- a/standin/src/main/java/dev/dandelionport/standin/fleet/FleetPlatform.java
+++ b/standin/src/main/java/dev/dandelionport/standin/fleet/FleetPlatform.java
@@ -35,8 +35,8 @@
 
   private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
   private final MetadataStore store = new MetadataStore();
-  private final RunnerHandler runnerHandler =
-      new RunnerHandler(executor, System.currentTimeMillis());
+  private final long runnersStartMillis = System.currentTimeMillis();
+  private final RunnerHandler runnerHandler = new RunnerHandler(executor, runnersStartMillis);
   private final StoreHandler storeHandler = new StoreHandler(store, executor);
   private final Server server;
 
@@ -73,8 +73,9 @@
             + "\"version\":\"v1\",\"slots\":8,"
             + "\"state\":\"ready\",\"cold-remaining-ms\":0,"
             + "\"capacity\":{\"cpu\":16000,\"mem-mb\":32768,\"gpu\":0},"
-            + "\"labels\":[\"a\",\"r1-%d\"],\"clock-ms\":1,\"seq\":1}")
-        .formatted(port(), index % 3, index / 8);
+            + "\"labels\":[\"a\",\"r1-%d\"],\"clock-ms\":1,\"seq\":1,"
+            + "\"born\":%d}")
+        .formatted(port(), index % 3, index / 8, runnersStartMillis);
   }
 
   /** Returns a configuration with one queue that needs advice and one client account. */
