Call a runner at once when the directory lists its new incarnation

What callers saw: after a restart a runner stood empty for a second or more while tasks waited: it gets work once its new incarnation has answered, and the next call could be up to a second away.

Cause: the delay before a runner that does not answer is called again grows with each failure, and calls that the former incarnation left unanswered counted for the next one.

Change: an entry with another incarnation clears the delay, as another address did already.

Calls over connections that a crash has silenced still time out first; that was not changed.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -44,8 +44,13 @@
   private final Shard shard;
   private final LinkOwner owner;
   private final long token;
+
+  /** Address of the runner; its host and port are empty if they are not known. */
   private Address address;
 
+  /** Incarnation that the directory lists; 0 for none. */
+  private long listedIncarnation;
+
   private final RunnerLeases leases;
   private boolean answered;
   private boolean holdPending;
@@ -96,10 +101,14 @@
             .newQueue(this::mayStart);
   }
 
-  /** Sets the address of the runner; its host and port are empty if they are not known. */
-  void setAddress(Address a) {
-    if (!a.equals(address)) {
+  /**
+   * Sets the address of the listed incarnation. Failed calls to another address or incarnation do
+   * not delay the next call.
+   */
+  void setEntry(Address a, long listedIncarnation) {
+    if (!a.equals(address) || listedIncarnation != this.listedIncarnation) {
       address = a;
+      this.listedIncarnation = listedIncarnation;
       nextCallMillis = 0;
     }
   }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLinks.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLinks.java
@@ -71,8 +71,11 @@
     return links.values();
   }
 
-  void setAddresses(List<RunnerDescription> runners) {
-    runners.forEach(r -> get(r.id()).setAddress(new Address(r.id(), r.address())));
+  /** Passes on what the directory lists. */
+  void setEntries(List<RunnerDescription> runners) {
+    for (RunnerDescription r : runners) {
+      get(r.id()).setEntry(new Address(r.id(), r.address()), r.incarnation());
+    }
   }
 
   /** Sends the calls that are due on all links. */
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -182,7 +182,7 @@
     }
     scheduler.setClosedDomains(clusterView.closedDomains());
     scheduler.setRunners(clusterView.runners());
-    links.setAddresses(clusterView.runners());
+    links.setEntries(clusterView.runners());
     if (!open) {
       open = true;
       context.report(
--- a/core/src/test/java/dev/dandelionport/core/dispatch/RunnerLinkTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/RunnerLinkTest.java
@@ -89,4 +89,23 @@
         .filteredOn(x -> x.contains("RUNNER_REBORN"))
         .hasSize(PlatformCluster.RUNNERS);
   }
+
+  // A runner that was down for seconds got its next call, and so its next task, up to a second
+  // after
+  // the entry of its new incarnation: the delay had grown with the failed calls to the earlier one.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void failedCallsToEarlierIncarnationDoNotDelayTheFirstOneToTheNext(long seed) {
+    PlatformCluster cell = new PlatformCluster(seed);
+    cell.time.runFor(2_000);
+    cell.submit(cell.cluster.anyNode(), "w", PlatformCluster.URGENT, "a", List.of(step(8)));
+    assertThat(cell.time.runUntil(() -> cell.runners.starts >= 8, 2_000)).isTrue();
+    cell.runners.crash("r1");
+    cell.time.runFor(3_500 + 50 * seed);
+    cell.trace.clear();
+    cell.runners.restart("r1");
+    cell.putRunner("r1", "ready");
+    cell.time.runFor(100);
+    assertThat(cell.trace).anyMatch(x -> x.contains("RUNNER_REBORN"));
+  }
 }
