Split the execution of decisions from WorkflowOwner

WorkflowOwner had grown to 452 lines. DecisionExecutor sends stops and log entries at once, and starts and published states once their records are durable; it tells when that last happened. No behaviour changes. The tests of dispatch pass; WorkflowOwner has 415 lines.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -7,11 +7,8 @@
 import dev.dandelionport.core.message.WorkflowStatus;
 import dev.dandelionport.core.port.InstanceInfo;
 import dev.dandelionport.core.workflow.AdviceRequest;
-import dev.dandelionport.core.workflow.WorkflowDecision;
-import dev.dandelionport.core.workflow.WorkflowEffect;
 import dev.dandelionport.core.workflow.WorkflowRecord;
 import dev.dandelionport.core.workflow.WorkflowScheduler;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -59,6 +56,7 @@
   private final ClientRequestHandler requestHandler;
   private final OwnerLoad load;
   private final RunnerLinks links;
+  private final DecisionExecutor decisions;
   private final PassPacer passPacer = new PassPacer();
   private final RecoveryCallQueue queuedCalls;
   private final long formerLeasesExpireMillis;
@@ -68,7 +66,9 @@
   private boolean closed;
   private boolean passScheduled;
   private long nextPurgeMillis;
-  private long storeContactMillis;
+
+  /** When the latest successful renewal of the owner's lease was sent, on the monotonic clock. */
+  private long renewedMillis;
 
   /**
    * Creates an owner whose key has {@code revision}, which is also its fencing token.
@@ -99,7 +99,7 @@
             scheduler, clusterView, new SubmissionGate(context, shard, this::storeContact));
     this.queuedCalls = new RecoveryCallQueue(context, shard);
     this.claimedMillis = context.nowMillis();
-    this.storeContactMillis = claimedMillis;
+    this.renewedMillis = claimedMillis;
     long leasesExpireMillis =
         claimedMillis
             + DispatchSettings.EXTEND_WITHOUT_STORE_MILLIS
@@ -109,6 +109,7 @@
         new RunnerLinks(
             context.settings().ownerCapacity(),
             to -> new RunnerLink(context, shard, this, revision, to, leasesExpireMillis));
+    this.decisions = new DecisionExecutor(context, shard, scheduler, links);
     this.load = new OwnerLoad(context, scheduler, adviceDispatcher, links);
   }
 
@@ -152,6 +153,7 @@
     }
     scheduler.finishReplay();
     journal = new WorkflowJournal(context, shard, revision, h, this::onFenced);
+    decisions.setJournal(journal);
     requestHandler.setJournal(journal);
     context.report(
         DispatchTopic.OWNER_CLAIMED,
@@ -243,7 +245,7 @@
 
   @Override
   public void applyDecisions() {
-    executeDecision();
+    decisions.execute();
     if (!open || closed) {
       return;
     }
@@ -271,58 +273,13 @@
     if (maxStarts > 0) {
       scheduler.place(maxStarts);
     }
-    executeDecision();
+    decisions.execute();
     adviceDispatcher.assignRequests(scheduler::nextAdviceRequest);
     long endNanos = context.time().monotonicNanos();
     load.recordPass(endNanos - startNanos);
     passPacer.passed(startNanos, endNanos);
   }
 
-  /** Executes the scheduler's decisions since the last call. */
-  private void executeDecision() {
-    WorkflowDecision d = scheduler.takeDecision();
-    if (closed || d.records().isEmpty() && d.effects().isEmpty()) {
-      return;
-    }
-    List<WorkflowEffect> durableEffects = new ArrayList<>();
-    for (WorkflowEffect e : d.effects()) {
-      if (e instanceof WorkflowEffect.Stop s) {
-        links.get(s.runner()).stop(s.task(), s.run());
-      } else if (e instanceof WorkflowEffect.LogEntry n) {
-        reportDecision(n);
-      } else {
-        durableEffects.add(e);
-      }
-    }
-    if (!d.records().isEmpty() || !durableEffects.isEmpty()) {
-      journal.append(d.records(), () -> applyDurableEffects(durableEffects));
-    }
-  }
-
-  private void reportDecision(WorkflowEffect.LogEntry n) {
-    Object[] fields = new Object[n.fields().size() + 2];
-    fields[0] = "decision";
-    fields[1] = n.topic().name();
-    for (int i = 0; i < n.fields().size(); i++) {
-      fields[i + 2] = n.fields().get(i);
-    }
-    shard.runAfterUnlock(() -> context.report(DispatchTopic.DECISION, fields));
-  }
-
-  private void applyDurableEffects(List<WorkflowEffect> effects) {
-    if (closed) {
-      return;
-    }
-    storeContactMillis = context.nowMillis();
-    for (WorkflowEffect e : effects) {
-      if (e instanceof WorkflowEffect.Start s) {
-        links.get(s.runner()).start(s.task(), s.run());
-      } else if (e instanceof WorkflowEffect.PublishState s) {
-        scheduler.markStateDurable(s.workflow(), s.state());
-      }
-    }
-  }
-
   @Override
   public void whenDurable(Runnable action) {
     journal.append(List.of(), action);
@@ -330,13 +287,18 @@
 
   @Override
   public boolean mayExtendLeases() {
-    long contactMillis = Math.max(storeContactMillis, clusterView.confirmedMillis());
+    long contactMillis = Math.max(storeContactMillis(), clusterView.confirmedMillis());
     return context.nowMillis() - contactMillis < DispatchSettings.EXTEND_WITHOUT_STORE_MILLIS;
   }
 
+  /** Returns the time at which the store last accepted a write of this owner. */
+  private long storeContactMillis() {
+    return Math.max(renewedMillis, decisions.durableMillis());
+  }
+
   /** Records a successful renewal of the owner's lease by a call sent at {@code sentMillis}. */
   void leaseRenewed(long sentMillis) {
-    storeContactMillis = Math.max(storeContactMillis, sentMillis);
+    renewedMillis = Math.max(renewedMillis, sentMillis);
   }
 
   @Override
@@ -371,6 +333,7 @@
   void close() {
     closed = true;
     open = false;
+    decisions.close();
     clusterView.stop();
     if (journal != null) {
       journal.stop();
@@ -404,7 +367,7 @@
   boolean canHandOver() {
     long now = context.nowMillis();
     return isOpen()
-        && now - storeContactMillis < STORE_CONTACT_MILLIS
+        && now - storeContactMillis() < STORE_CONTACT_MILLIS
         && !journal.isFailing()
         && queuedCalls.size() == 0
         && (now > formerLeasesExpireMillis
@@ -432,7 +395,7 @@
   private SubmissionGate.StoreContact storeContact() {
     return new SubmissionGate.StoreContact(
         journal.blockedMillis(),
-        context.nowMillis() - storeContactMillis,
+        context.nowMillis() - storeContactMillis(),
         renewalsFail.getAsBoolean(),
         leaseValid.getAsBoolean());
   }
