Drop a delayed report of a former incarnation whose start is the later one

What callers could see: runs that a restarted runner had not confirmed yet are stopped and started again, when a report of its former incarnation is read after the first one of the new one and the runner's wall clock was set back in between.

Cause: a report that was called for before the current incarnation was seen counted as an earlier one only if its start was the lower number. With the clock set back it is the higher one, and the former incarnation became the current one until the next report.

Change: ReportedIncarnation keeps the incarnation that was replaced and decides by both; RunnerLink no longer does.

Evidence and result: ReportedIncarnationTest.delayedReportOfEarlierIncarnationWithLaterStartIsOutdated fails with the former rule and passes now; the other tests of links, leases, restarts and random faults pass.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/RunnerLink.java
@@ -60,10 +60,7 @@
 
   private boolean statusCallPending;
   private boolean unresponsiveReported;
-  private long incarnation;
-
-  /** Time at which the current incarnation first answered, on the monotonic clock. */
-  private long incarnationSeenMillis;
+  private final ReportedIncarnation incarnation = new ReportedIncarnation();
 
   private final EndAcknowledgement ends = new EndAcknowledgement();
   private final RunnerOrders orders;
@@ -281,24 +278,18 @@
       owner.onFenced();
       return;
     }
-    if (a.report().incarnation() == incarnation) {
+    if (a.report().incarnation() == incarnation.current()) {
       ends.acknowledged(acked);
     }
     handleReport(a.report(), sentMillis);
   }
 
   private void handleReport(RunnerReport r, long sentMillis) {
-    if (r.incarnation() < incarnation
-        && (r.incarnation() == 0 || sentMillis <= incarnationSeenMillis)) {
-      // This is a delayed answer of an earlier incarnation, or one without an incarnation. Only the
-      // current incarnation answers calls sent after it was first seen, even if its wall clock has
-      // been set back.
+    if (incarnation.isOutdated(r.incarnation(), sentMillis)) {
       callIfNeeded();
       return;
     }
-    if (r.incarnation() != incarnation) {
-      incarnation = r.incarnation();
-      incarnationSeenMillis = context.nowMillis();
+    if (incarnation.record(r.incarnation(), context.nowMillis())) {
       ends.reset();
       leases.forgetClock();
       // The waiting orders are for the earlier incarnation, whose runs end with a complete report.
@@ -321,10 +312,10 @@
     owner.applyDecisions();
     if (ends.awaitsJournal()) {
       final long endNumber = ends.reportedNumber();
-      final long reportedIncarnation = incarnation;
+      final long reportedIncarnation = incarnation.current();
       owner.whenDurable(
           () -> {
-            if (reportedIncarnation == incarnation) {
+            if (reportedIncarnation == incarnation.current()) {
               ends.durable(endNumber);
               callIfNeeded();
             }
