--- a/core/src/main/java/dev/dandelionport/core/dispatch/ReportedIncarnation.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ReportedIncarnation.java
@@ -29,9 +29,7 @@
    */
   boolean isOutdated(long startMillis, long sentMillis) {
     boolean mayBeEarlier = sentMillis <= seenMillis;
-    return startMillis != current
-        && mayBeEarlier
-        && (startMillis < current || startMillis == previous);
+    return mayBeEarlier && (startMillis < current || startMillis == previous);
   }
 
   /** Records a report that is not outdated. Returns whether it is the first of its incarnation. */
