--- a/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
+++ b/core/src/test/java/dev/dandelionport/core/workflow/WorkflowFixture.java
@@ -69,26 +69,17 @@
   }
 
   void updateRunners() {
-    entries.replaceAll(
-        (id, d) ->
-            new RunnerDescription(
-                id,
-                d.incarnation(),
-                d.service(),
-                d.address(),
-                d.failureDomain(),
-                d.capacity(),
-                d.labels(),
-                draining.contains(id)));
+    entries.replaceAll((id, d) -> copy(d, d.incarnation(), draining.contains(id)));
     scheduler.setRunners(List.copyOf(entries.values()));
   }
 
   /** Reads the first entry of an incarnation of a runner. */
   void list(String id, long incarnation, ResourceVector capacity, String kind) {
+    List<String> labels = List.of(kind, "rack");
     entries.put(
         id,
         new RunnerDescription(
-            id, incarnation, "svc", id + ":1", "fd-" + id, capacity, List.of(kind, "rack"), false));
+            id, incarnation, "svc", id + ":1", "fd-" + id, capacity, labels, false));
     updateTime();
     updateRunners();
     collectDecision();
@@ -96,6 +87,10 @@
 
   /** Returns the description of the next incarnation of a runner. */
   static RunnerDescription restarted(RunnerDescription d, long incarnation) {
+    return copy(d, incarnation, d.draining());
+  }
+
+  private static RunnerDescription copy(RunnerDescription d, long incarnation, boolean draining) {
     return new RunnerDescription(
         d.id(),
         incarnation,
@@ -104,7 +99,7 @@
         d.failureDomain(),
         d.capacity(),
         d.labels(),
-        d.draining());
+        draining);
   }
 
   static StepSpec step(int tasks, long milliCores, Integer... dependencies) {
