--- a/core/src/test/java/dev/dandelionport/core/dispatch/RunnerLinkTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/RunnerLinkTest.java
@@ -90,9 +90,8 @@
         .hasSize(PlatformCluster.RUNNERS);
   }
 
-  // A runner that was down for seconds got its next call, and so its next task, up to a second
-  // after
-  // the entry of its new incarnation: the delay had grown with the failed calls to the earlier one.
+  // A runner that was down for seconds got its next call up to a second after the entry of its new
+  // incarnation: the delay had grown with the failed calls to the earlier one.
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
   void failedCallsToEarlierIncarnationDoNotDelayTheFirstOneToTheNext(long seed) {
