Log how each request was answered by the instance that was asked

Cause: the answers 400, 401, 404, 410 and 504 left no line, and refusals were limited to one line in 20 ms, so at a change of the owner most ids were dropped.

It replaces DP4009 "no owner answered"; DP4009 is now written by owners only.

--- a/cli/src/main/java/dev/dandelionport/cli/RequestTimeline.java
+++ b/cli/src/main/java/dev/dandelionport/cli/RequestTimeline.java
@@ -98,11 +98,11 @@
     return lines.stream()
         .filter(l -> !l.time().isBefore(first) && !l.time().isAfter(last))
         .sorted(Comparator.comparing(Line::time))
-        .map(RequestTimeline::formatLine)
+        .map(this::formatLine)
         .toList();
   }
 
-  private static String formatLine(Line l) {
+  private String formatLine(Line l) {
     StringBuilder b = new StringBuilder();
     b.append(l.namesRequest() ? "  " : "* ")
         .append(l.time())
@@ -113,9 +113,21 @@
     b.append(l.fields().path("message").asText());
     for (Map.Entry<String, JsonNode> f : l.fields().properties()) {
       if (!OMITTED_FIELDS.contains(f.getKey())) {
-        b.append(' ').append(f.getKey()).append('=').append(f.getValue().asText());
+        b.append(' ').append(f.getKey()).append('=').append(formatValue(f.getValue()));
       }
     }
     return b.toString();
   }
+
+  /** Returns a value as text; of an array, only the elements that name the request. */
+  private String formatValue(JsonNode value) {
+    if (!value.isArray()) {
+      return value.asText();
+    }
+    return value
+        .valueStream()
+        .map(JsonNode::asText)
+        .filter(v -> idPattern.matcher(v).find())
+        .collect(Collectors.joining("; "));
+  }
 }
--- a/cli/src/test/java/dev/dandelionport/cli/RequestTimelineTest.java
+++ b/cli/src/test/java/dev/dandelionport/cli/RequestTimelineTest.java
@@ -43,6 +43,17 @@
     assertThat(s.format()).isEmpty();
   }
 
+  // Guards against the requests of others in a line that lists many of them.
+  @Test
+  void onlyTheNamedRequestIsShownOfManyInOneLine() {
+    RequestTimeline s = new RequestTimeline("ab12");
+    String requests = "\"requests\":[\"path=/q/ab13 status=OK\",\"path=/q/ab12 status=INVALID\"]";
+    s.add("one", logLine(1, "DP4010", "\"count\":2," + requests));
+    assertThat(s.format())
+        .containsExactly(
+            "  2026-01-01T00:00:01Z one DP4010 m count=2 requests=path=/q/ab12 status=INVALID");
+  }
+
   // Guards against a timeline that omits cell-wide events, such as a change of owner, which explain
   // the lines of the request.
   @Test
--- a/core/src/main/java/dev/dandelionport/core/dispatch/DispatchTopic.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/DispatchTopic.java
@@ -26,7 +26,13 @@
   RUNNER_LEASE_TOO_LONG,
   BATCH_SLOW,
   SNAPSHOT_WRITTEN,
+  /** This instance refused a request as its owner. */
   REQUEST_REFUSED,
+  /**
+   * A client's request to this instance was not answered as OK, or only after several attempts; its
+   * fields are those of {@link AnsweredRequest}.
+   */
+  REQUEST_ANSWERED,
   /** An action failed with an unexpected exception; what follows it goes on. */
   ACTION_FAILED,
   /** A store entry cannot be decoded. */
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
@@ -7,9 +7,11 @@
 import dev.dandelionport.core.message.PeerMessage.WorkflowCall;
 import dev.dandelionport.core.message.WorkflowCallKind;
 import dev.dandelionport.core.message.WorkflowStatus;
+import dev.dandelionport.core.port.InstanceInfo;
 import dev.dandelionport.core.port.PeerException;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
@@ -51,6 +53,9 @@
   private final Function<WorkflowCall, Optional<CompletableFuture<WorkflowAnswer>>> localOwnerCall;
   private final Supplier<Optional<Owner>> remoteOwner;
 
+  /** An answer that this instance gives in place of an owner. */
+  private record OwnAnswer(WorkflowAnswer answer, String why) {}
+
   /** A client request that is routed to the owner. */
   private final class RoutedCall {
     final WorkflowCall call;
@@ -67,6 +72,17 @@
      */
     volatile boolean uncertain;
 
+    private final AtomicInteger attempts = new AtomicInteger();
+
+    /** Number of attempts that made the request uncertain. */
+    private final AtomicInteger unanswered = new AtomicInteger();
+
+    /** Id of the instance that gave the last answer, empty if none did. */
+    private volatile String lastAnswerer = "";
+
+    /** The answer that this instance decided, null if it decided none. */
+    private volatile OwnAnswer ownAnswer;
+
     RoutedCall(WorkflowCall call, long deadlineMillis) {
       this.call = call;
       this.startMillis = context.nowMillis();
@@ -87,6 +103,7 @@
       Optional<CompletableFuture<WorkflowAnswer>> localAnswer =
           localOwnerCall.apply(call.withWait(remainingMillis));
       if (localAnswer.isPresent()) {
+        attempts.incrementAndGet();
         awaitLocalAnswer(localAnswer.get(), remainingMillis);
         return;
       }
@@ -96,16 +113,18 @@
         return;
       }
       long timeoutMillis = Math.min(ATTEMPT_TIMEOUT_MILLIS, remainingMillis);
+      InstanceInfo owner = remote.get().info();
+      attempts.incrementAndGet();
       context
           .peers()
-          .request(remote.get().info(), call.withWait(timeoutMillis), timeoutMillis)
+          .request(owner, call.withWait(timeoutMillis), timeoutMillis)
           .thenApply(OwnerRouter::toAnswer)
-          .whenComplete(this::attemptCompleted);
+          .whenComplete((a, e) -> attemptCompleted(owner, a, e));
     }
 
     /** Waits for the owner in this process, whose answer may depend on the store, until a limit. */
     private void awaitLocalAnswer(CompletableFuture<WorkflowAnswer> local, long timeoutMillis) {
-      local.whenComplete(this::attemptCompleted);
+      local.whenComplete((a, e) -> attemptCompleted(context.self(), a, e));
       if (!local.isDone()) {
         context
             .timer()
@@ -113,22 +132,31 @@
                 timeoutMillis,
                 () -> {
                   if (!local.isDone()) {
-                    uncertain = true;
+                    attemptUnanswered();
                     giveUp();
                   }
                 });
       }
     }
 
-    private void attemptCompleted(WorkflowAnswer a, Throwable e) {
+    /** Notes that the present attempt may have an effect and has no definite answer. */
+    private void attemptUnanswered() {
+      unanswered.incrementAndGet();
+      uncertain = true;
+    }
+
+    private void attemptCompleted(InstanceInfo owner, WorkflowAnswer a, Throwable e) {
+      if (e == null) {
+        lastAnswerer = owner.id().value();
+      }
       if (e != null) {
         Throwable cause = Failures.cause(e);
         if (!(cause instanceof PeerException p) || p.mayHaveBeenReceived()) {
-          uncertain = true;
+          attemptUnanswered();
         }
         retryAfter(RETRY_MILLIS);
       } else if (a.status() == WorkflowStatus.UNCERTAIN) {
-        uncertain = true;
+        attemptUnanswered();
         retryAfter(RETRY_MILLIS);
       } else if (a.status() == WorkflowStatus.NOT_OWNER) {
         retryAfter(Math.max(RETRY_MILLIS, a.retryMillis()));
@@ -161,22 +189,37 @@
       if (answer.isDone()) {
         return;
       }
-      context.report(
-          DispatchTopic.REQUEST_REFUSED,
-          "why",
-          "no owner answered",
-          "kind",
-          call.kind().name(),
-          "path",
-          call.path(),
-          "waitedMillis",
-          context.nowMillis() - startMillis,
-          "uncertain",
-          uncertain);
-      answer.complete(
+      completeHere(
           isOutcomeUnknown()
               ? WorkflowAnswer.of(WorkflowStatus.UNCERTAIN)
-              : new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, RETRY_AFTER_MILLIS));
+              : new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, RETRY_AFTER_MILLIS),
+          "no owner answered");
+    }
+
+    /** Answers by a decision of this instance, unless an owner's answer comes first. */
+    private void completeHere(WorkflowAnswer a, String why) {
+      ownAnswer = new OwnAnswer(a, why);
+      answer.complete(a);
+    }
+
+    /** Reports the answer, except for a success that the owner's own report tells completely. */
+    private void report(WorkflowAnswer a) {
+      boolean repeated = attempts.get() > 1 && call.kind() != WorkflowCallKind.READ;
+      if (a.status() == WorkflowStatus.OK && !repeated) {
+        return;
+      }
+      OwnAnswer own = ownAnswer;
+      AnsweredRequest r =
+          new AnsweredRequest(
+              call.kind().name(),
+              call.path(),
+              a.status(),
+              own != null && own.answer() == a ? own.why() : "",
+              attempts.get(),
+              unanswered.get(),
+              lastAnswerer,
+              context.nowMillis() - startMillis);
+      context.observer().accept(DispatchTopic.REQUEST_ANSWERED, r.fields());
     }
   }
 
@@ -198,6 +241,7 @@
 
   CompletableFuture<WorkflowAnswer> call(WorkflowCall c, long deadlineMillis) {
     RoutedCall call = new RoutedCall(c, deadlineMillis);
+    call.answer.thenAccept(call::report);
     call.attempt();
     return call.answer;
   }
--- a/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
+++ b/node/src/main/java/dev/dandelionport/node/process/DispatchLog.java
@@ -1,16 +1,39 @@
 package dev.dandelionport.node.process;
 
 import dev.dandelionport.core.dispatch.DispatchTopic;
+import dev.dandelionport.core.port.Timer;
+import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 
-/** Logs the workflow events of an instance as numbered events. */
+/**
+ * Logs the workflow events of an instance as numbered events. Those that tell how a request was
+ * answered are logged in batches. Thread-safe.
+ */
 public final class DispatchLog {
 
-  private DispatchLog() {}
+  private final Map<DispatchTopic, EventBatcher> batchers = new EnumMap<>(DispatchTopic.class);
+
+  /** Creates a log whose batches are written by {@code timer}. */
+  public DispatchLog(Timer timer) {
+    for (DispatchTopic t : List.of(DispatchTopic.REQUEST_REFUSED, DispatchTopic.REQUEST_ANSWERED)) {
+      batchers.put(t, new EventBatcher(toLogEvent(t), timer));
+    }
+  }
 
   /** Logs one event with its fields. */
-  public static void write(DispatchTopic topic, Map<String, Object> fields) {
-    EventLog.log(toLogEvent(topic), fields);
+  public void write(DispatchTopic topic, Map<String, Object> fields) {
+    EventBatcher batcher = batchers.get(topic);
+    if (batcher == null) {
+      EventLog.log(toLogEvent(topic), fields);
+    } else {
+      batcher.add(fields);
+    }
+  }
+
+  /** Logs what is left of the batches; later events are logged one by one. */
+  public void close() {
+    batchers.values().forEach(EventBatcher::close);
   }
 
   static LogEvent toLogEvent(DispatchTopic topic) {
@@ -35,6 +58,7 @@
       case BATCH_SLOW -> LogEvent.BATCH_SLOW;
       case SNAPSHOT_WRITTEN -> LogEvent.SNAPSHOT_WRITTEN;
       case REQUEST_REFUSED -> LogEvent.WORKFLOW_REFUSED;
+      case REQUEST_ANSWERED -> LogEvent.WORKFLOW_ANSWERED;
       case ENTRY_IGNORED -> LogEvent.ENTRY_IGNORED;
       case DECISION -> LogEvent.WORKFLOW_DECISION;
     };
--- a/node/src/main/java/dev/dandelionport/node/process/EventLog.java
+++ b/node/src/main/java/dev/dandelionport/node/process/EventLog.java
@@ -33,7 +33,7 @@
     log(event, Map.of());
   }
 
-  /** Logs an event with fields, whose values are strings, numbers or booleans. */
+  /** Logs an event with fields, whose values are strings, numbers, booleans or lists of strings. */
   public static void log(LogEvent event, Map<String, ?> fields) {
     log(event, null, fields);
   }
--- a/node/src/main/java/dev/dandelionport/node/process/JsonLineEncoder.java
+++ b/node/src/main/java/dev/dandelionport/node/process/JsonLineEncoder.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.slf4j.event.KeyValuePair;
 
 /** Encodes each log record as one line of JSON that has the standard fields and the event's own. */
@@ -56,6 +57,9 @@
       n.put(key, ((Number) value).longValue());
     } else if (value instanceof Number v) {
       n.put(key, v.doubleValue());
+    } else if (value instanceof List<?> values) {
+      ArrayNode array = n.putArray(key);
+      values.forEach(v -> array.add(String.valueOf(v)));
     } else {
       n.put(key, String.valueOf(value));
     }
