Show that a workflow runs although its caller got 401 or 404

In virtual time an owner is killed when the record of a submission is stored, before it can answer, and the key or the queue is removed at the same moment. The caller's only answer is 401 or 404 (expected: uncertain), and the workflow runs. At the router alone: 401, 404 and 400 after an attempt without an answer are passed on.

--- a/core/src/test/java/dev/dandelionport/core/dispatch/OwnerRouterTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/OwnerRouterTest.java
@@ -12,11 +12,14 @@
 import dev.dandelionport.core.port.PeerException;
 import dev.dandelionport.core.testing.FakeProcess;
 import dev.dandelionport.core.testing.VirtualTime;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class OwnerRouterTest {
 
@@ -83,6 +86,33 @@
             : next.get();
   }
 
+  // A request that may have been carried out was answered 401, 404 or 400, as if it had no effect.
+  @ParameterizedTest
+  @EnumSource(names = {"NO_ACCOUNT", "NO_QUEUE", "INVALID"})
+  void rejectionAfterAttemptThatMayHaveTakenEffectIsUncertain(WorkflowStatus rejection) {
+    peerAnswer = lostThen(() -> of(rejection));
+    for (WorkflowCallKind kind : List.of(WorkflowCallKind.SUBMIT, WorkflowCallKind.CANCEL)) {
+      requests = 0;
+      assertThat(call(kind).status()).isEqualTo(WorkflowStatus.UNCERTAIN);
+    }
+  }
+
+  // Guards against an uncertain answer for a request that no owner can have carried out.
+  @ParameterizedTest
+  @EnumSource(names = {"NO_ACCOUNT", "NO_QUEUE", "INVALID", "UNKNOWN_WORKFLOW"})
+  void rejectionIsFinalIfNoAttemptMayHaveTakenEffect(WorkflowStatus rejection) {
+    peerAnswer = () -> of(requests < 3 ? WorkflowStatus.NOT_OWNER : rejection);
+    assertThat(call(WorkflowCallKind.SUBMIT).status()).isEqualTo(rejection);
+  }
+
+  // Guards against readings, which change nothing, that count as uncertain.
+  @ParameterizedTest
+  @EnumSource(names = {"NO_ACCOUNT", "NO_QUEUE", "INVALID", "UNKNOWN_WORKFLOW"})
+  void rejectionOfReadingIsFinalAlsoAfterLostAnswer(WorkflowStatus rejection) {
+    peerAnswer = lostThen(() -> of(rejection));
+    assertThat(call(WorkflowCallKind.READ).status()).isEqualTo(rejection);
+  }
+
   // A request whose first answer was lost was answered as uncertain at the next refusal, although
   // the owner that had accepted it could still report that before the deadline.
   @Test
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformCluster.java
@@ -22,10 +22,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
@@ -67,6 +69,10 @@
   private final Map<Long, ClusterPolicy> policies = new HashMap<>();
   private final Map<String, Long> adviceBusyUntilMillis = new HashMap<>();
   private long version;
+
+  /** Names of the accounts whose keys the next configuration leaves out. */
+  final Set<String> accountsWithoutKey = new HashSet<>();
+
   double adviceFailureFraction;
   boolean adviceSlow;
 
@@ -144,9 +150,7 @@
       queues.put(BATCH, queue(BATCH, 2, Optional.empty()));
     }
     Map<String, Account> accounts =
-        Map.of(
-            "a", new Account("a", List.of("key-a"), 5, ResourceVector.ZERO),
-            "b", new Account("b", List.of("key-b"), 5, ceiling));
+        Map.of("a", account("a", ResourceVector.ZERO), "b", account("b", ceiling));
     policies.put(version, new ClusterPolicy(version, queues, Map.of(), accounts));
     invariants.ceilings.put("a", ResourceVector.ZERO);
     // The previous configuration may stay in use for a while, so the check uses the highest
@@ -155,6 +159,11 @@
     store.put("op/config", Long.toString(version));
   }
 
+  private Account account(String name, ResourceVector ceiling) {
+    List<String> keys = accountsWithoutKey.contains(name) ? List.of() : List.of("key-" + name);
+    return new Account(name, keys, 5, ceiling);
+  }
+
   private static Queue queue(String name, int priority, Optional<ClusterPolicy.Advice> advice) {
     return new Queue(
         name, "h", "/" + name + "/", 3_000, 500, priority, "svc", MAX_FAILURES, 2, advice, false);
