Answer 504 when a rejection follows an attempt that may have had an effect

Cause: OwnerRouter sends a request to the owner in several attempts. Once one of them has had no answer, it held back the status REFUSED only, and passed NO_ACCOUNT, NO_QUEUE and INVALID on. An owner says so of the one message that it answers: it checks queue and key before it looks whether the id is known, and both may have been removed since a former owner stored the submission.

Change: whether an answer denies an effect is a property of WorkflowStatus (deniesEffect), so a new status has to decide it. After an attempt that may have had one, no such answer is passed on: a refusal is tried again as before, the others are answered as uncertain (504) at once, since a further attempt would get the same answer. A caller that was told 504 may return with the same id. Readings have no effect and get their answer as before.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
@@ -133,14 +133,17 @@
       } else if (a.status() == WorkflowStatus.NOT_OWNER) {
         retryAfter(Math.max(RETRY_MILLIS, a.retryMillis()));
       } else if (a.status() == WorkflowStatus.REFUSED && isOutcomeUnknown()) {
-        // An earlier attempt may have been or may yet be accepted, so a refusal as "not run" might
-        // be wrong. Another attempt may find it accepted.
+        // Another attempt may find it accepted.
         retryAfter(REFUSED_RETRY_MILLIS);
+      } else if (a.status().deniesEffect() && isOutcomeUnknown()) {
+        // Only a changed configuration could change this answer, so no attempt follows.
+        answer.complete(WorkflowAnswer.of(WorkflowStatus.UNCERTAIN));
       } else {
         answer.complete(a);
       }
     }
 
+    /** Returns whether an earlier attempt may have an effect that a later answer does not tell. */
     private boolean isOutcomeUnknown() {
       return uncertain && call.kind() != WorkflowCallKind.READ;
     }
--- a/core/src/main/java/dev/dandelionport/core/message/WorkflowStatus.java
+++ b/core/src/main/java/dev/dandelionport/core/message/WorkflowStatus.java
@@ -17,5 +17,16 @@
   /** The receiver does not own the workflows; the request had no effect. */
   NOT_OWNER,
   /** It is unknown whether the request took effect. */
-  UNCERTAIN
+  UNCERTAIN;
+
+  /**
+   * Returns whether the answer says that the request had no effect. The receiver knows that only of
+   * the message that it answers, not of other messages that carry the same request.
+   */
+  public boolean deniesEffect() {
+    return switch (this) {
+      case NO_QUEUE, NO_ACCOUNT, INVALID, REFUSED, NOT_OWNER -> true;
+      case OK, UNKNOWN_WORKFLOW, UNCERTAIN -> false;
+    };
+  }
 }
