Name the rejection behind an uncertain answer in DP4010

The line of a request that was rejected after an attempt without an answer told neither the status of the rejection nor that the instance decided the answer.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
@@ -165,7 +165,9 @@
         retryAfter(REFUSED_RETRY_MILLIS);
       } else if (a.status().deniesEffect() && isOutcomeUnknown()) {
         // Only a changed configuration could change this answer, so no attempt follows.
-        answer.complete(WorkflowAnswer.of(WorkflowStatus.UNCERTAIN));
+        completeHere(
+            WorkflowAnswer.of(WorkflowStatus.UNCERTAIN),
+            a.status() + " after an attempt without an answer");
       } else {
         answer.complete(a);
       }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/OwnerRouterTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/OwnerRouterTest.java
@@ -217,14 +217,15 @@
   @Test
   void rejectionAfterAnAttemptWithoutAnswerIsReportedWithBoth() {
     peerAnswer = lostThen(() -> of(WorkflowStatus.NO_ACCOUNT));
-    WorkflowAnswer a = call(WorkflowCallKind.SUBMIT);
+    call(WorkflowCallKind.SUBMIT);
     assertThat(reports)
         .singleElement()
         .satisfies(
             r ->
                 assertThat(r)
                     .containsEntry("path", "/q/1")
-                    .containsEntry("status", a.status().name())
+                    .containsEntry("status", "UNCERTAIN")
+                    .containsEntry("why", "NO_ACCOUNT after an attempt without an answer")
                     .containsEntry("attempts", 2)
                     .containsEntry("unanswered", 1)
                     .containsEntry("owner", "o"));
