Deny no workflow while another instance may be the owner

A cancelling that came later than the configuration could be used got 503 at once, although the successor could have carried it out.

Cause: submissions asked SubmissionGate.isOwnershipCertain, readings and cancellations did not: "certainly not" rested on what one owner knew at one moment.

Change: an id that is not known is answered "not the owner" unless no other instance can be the owner at that moment; the router tries again. States that are known are given as before. An owner whose renewals fail asks its peers for the next owner at once and not only after its lease, up to 3 s later. What is known of the ownership is one record, Ownership.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
@@ -24,6 +24,8 @@
   /** Retry delay sent with a refusal, in milliseconds. */
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
+  private static final String POLICY_NOT_CONFIRMED = "the configuration is not confirmed";
+
   private final WorkflowScheduler scheduler;
   private final ClusterView clusterView;
   private final SubmissionGate submissionGate;
@@ -70,7 +72,11 @@
         scheduler.queueOf(id).filter(q.name()::equals).isPresent()
             && (q.open() || scheduler.accountOf(id).filter(owner::equals).isPresent());
     if (!known) {
-      return answerNow(WorkflowAnswer.of(WorkflowStatus.UNKNOWN_WORKFLOW));
+      // The next owner may have accepted the workflow.
+      return answerNow(
+          submissionGate.isOwnershipCertain()
+              ? WorkflowAnswer.of(WorkflowStatus.UNKNOWN_WORKFLOW)
+              : SubmissionGate.notOwner());
     }
     if (c.kind() == WorkflowCallKind.CANCEL) {
       long position = pendingAnswers.position();
@@ -132,15 +138,18 @@
    * workflow that has been accepted must not be reported as refused.
    */
   private WorkflowAnswer answerWithoutPolicy(WorkflowCall c) {
-    if (c.kind() != WorkflowCallKind.SUBMIT) {
+    if (c.kind() == WorkflowCallKind.READ) {
       return new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, RETRY_AFTER_MILLIS);
     }
+    if (c.kind() == WorkflowCallKind.CANCEL) {
+      return submissionGate.refuse(c, POLICY_NOT_CONFIRMED, RETRY_AFTER_MILLIS);
+    }
     Optional<Queue> route = clusterView.policy().route(c.host(), c.path());
     boolean known =
         route.flatMap(q -> scheduler.queueOf(c.path().substring(q.prefix().length()))).isPresent();
     return known
         ? WorkflowAnswer.of(WorkflowStatus.UNCERTAIN)
-        : submissionGate.refuse(c, "the configuration is not confirmed", RETRY_AFTER_MILLIS);
+        : submissionGate.refuse(c, POLICY_NOT_CONFIRMED, RETRY_AFTER_MILLIS);
   }
 
   private static CompletableFuture<WorkflowAnswer> answerNow(WorkflowAnswer answer) {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -132,9 +132,9 @@
     return isOwner() && failedRenewals >= MIN_FAILED_RENEWALS;
   }
 
-  /** Returns whether this instance is the owner and its lease is certainly valid. */
-  boolean isLeaseValid() {
-    return isOwner() && lease.isValid();
+  /** Returns what this instance knows of its ownership now. */
+  Ownership ownership() {
+    return new Ownership(isOwner() && lease.isValid(), isOwnerWithoutStore());
   }
 
   private void watchChanged() {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
@@ -36,21 +36,13 @@
    * @param blockedMillis time for which a write has waited while the store accepted none, 0 if none
    *     waits
    * @param contactAgeMillis time since the store last accepted a write or a renewal
-   * @param renewalsFail whether renewals of the owner's lease fail, so that another instance may
-   *     have been asked to replace this one
-   * @param leaseValid whether the owner's lease is certainly valid
+   * @param ownership what it knows of its ownership
    */
-  record StoreContact(
-      long blockedMillis, long contactAgeMillis, boolean renewalsFail, boolean leaseValid) {
+  record StoreContact(long blockedMillis, long contactAgeMillis, Ownership ownership) {
 
     private boolean acceptsWrites() {
       return blockedMillis <= MAX_BLOCKED_MILLIS
-          && (!renewalsFail || contactAgeMillis <= MAX_BLOCKED_MILLIS);
-    }
-
-    /** Returns whether no other instance can have become the owner. */
-    private boolean isOwnershipCertain() {
-      return leaseValid && !renewalsFail;
+          && (!ownership.renewalsFail() || contactAgeMillis <= MAX_BLOCKED_MILLIS);
     }
   }
 
@@ -88,8 +80,8 @@
    */
   private WorkflowAnswer refuse(
       WorkflowCall c, StoreContact contact, String reason, long retryMillis) {
-    if (!contact.isOwnershipCertain()) {
-      return new WorkflowAnswer(WorkflowStatus.NOT_OWNER, null, 0, UNSURE_OWNER_RETRY_MILLIS);
+    if (!contact.ownership().isCertain()) {
+      return notOwner();
     }
     shard.runAfterUnlock(
         () ->
@@ -110,6 +102,11 @@
 
   /** Returns whether no other instance can have become the owner. */
   boolean isOwnershipCertain() {
-    return storeContact.get().isOwnershipCertain();
+    return storeContact.get().ownership().isCertain();
+  }
+
+  /** Returns an answer of a process that may no longer be the owner; it is tried again. */
+  static WorkflowAnswer notOwner() {
+    return new WorkflowAnswer(WorkflowStatus.NOT_OWNER, null, 0, UNSURE_OWNER_RETRY_MILLIS);
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -127,8 +127,7 @@
               context,
               shard,
               ownKey.revision(),
-              election::isLeaseValid,
-              election::isOwnerWithoutStore,
+              election::ownership,
               () -> shard.run(() -> election.ownershipLost(ownKey)));
       owner = o;
       shard.runAfterUnlock(o::start);
@@ -215,7 +214,9 @@
     if (to.isEmpty()) {
       shard.run(
           () -> {
-            if (!election.isOwner() || election.isRenewalOverdue()) {
+            if (!election.isOwner()
+                || election.isRenewalOverdue()
+                || election.isOwnerWithoutStore()) {
               requestOwnerFromPeer();
             }
           });
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /**
  * Runs all workflows for as long as its owner key exists in the store: replays the history, then
@@ -47,8 +47,7 @@
   private final DispatchContext context;
   private final Shard shard;
   private final long revision;
-  private final BooleanSupplier leaseValid;
-  private final BooleanSupplier renewalsFail;
+  private final Supplier<Ownership> ownership;
   private final Runnable onLost;
   private final WorkflowScheduler scheduler;
   private final ClusterView clusterView;
@@ -73,23 +72,19 @@
   /**
    * Creates an owner whose key has {@code revision}, which is also its fencing token.
    *
-   * @param leaseValid whether the owner's lease is certainly valid; called with the lock held
-   * @param renewalsFail whether the store does not renew the owner's lease; called with the lock
-   *     held
+   * @param ownership supplies what is known of the ownership now; called with the lock held
    * @param onLost called once, outside the lock, when another instance is the owner
    */
   WorkflowOwner(
       DispatchContext context,
       Shard shard,
       long revision,
-      BooleanSupplier leaseValid,
-      BooleanSupplier renewalsFail,
+      Supplier<Ownership> ownership,
       Runnable onLost) {
     this.context = context;
     this.shard = shard;
     this.revision = revision;
-    this.leaseValid = leaseValid;
-    this.renewalsFail = renewalsFail;
+    this.ownership = ownership;
     this.onLost = onLost;
     this.scheduler = new WorkflowScheduler(context.settings().limits());
     this.clusterView = new ClusterView(context, shard, this::clusterViewChanged);
@@ -303,7 +298,7 @@
 
   @Override
   public boolean mayStart() {
-    return leaseValid.getAsBoolean();
+    return ownership.get().leaseValid();
   }
 
   @Override
@@ -396,8 +391,7 @@
     return new SubmissionGate.StoreContact(
         journal.blockedMillis(),
         context.nowMillis() - storeContactMillis(),
-        renewalsFail.getAsBoolean(),
-        leaseValid.getAsBoolean());
+        ownership.get());
   }
 
   /** Handles a batch of queued calls, then lets other work run. */
