Answer unknown when a late or conflicting submit may have arrived

What callers saw: a submission to the other half of the code (JobRoute) was answered 400 "deadlineMillis must be after now" or 409 "the request key belongs to an earlier request" although an earlier attempt of it had had no answer and may have run.

Cause: after an attempt that may have been received, JobRoute held NOT_RUN and NOT_FOUND back only, and passed every other answer on. A former owner may have started an urgent repeatable job before its record was durable; the next owner, which does not know the job, then judges the deadline or the key.

Change: after such an attempt only a status is final; any other answer, also of a kind to come, is UNKNOWN (504).

--- a/core/src/main/java/dev/dandelionport/core/engine/JobRoute.java
+++ b/core/src/main/java/dev/dandelionport/core/engine/JobRoute.java
@@ -210,13 +210,22 @@
           result.complete(r);
         }
       }
-      case EXPIRED ->
-          result.complete(
-              JobReply.of(Outcome.UNKNOWN, r.reason() + "; ask again with the same request key"));
-      default -> result.complete(r);
+      case EXPIRED -> completeAsUnknown(r.reason());
+      case STATUS -> result.complete(r);
+      default -> {
+        if (mayHaveArrived) {
+          completeAsUnknown(r.reason());
+        } else {
+          result.complete(r);
+        }
+      }
     }
   }
 
+  private void completeAsUnknown(String reason) {
+    result.complete(JobReply.of(Outcome.UNKNOWN, reason + "; ask again with the same request key"));
+  }
+
   private void onFailure(Throwable e) {
     boolean mayBeReceived = !(e instanceof PeerException x) || x.mayHaveBeenReceived();
     mayHaveArrived |= mayBeReceived && kind == Kind.SUBMIT;
@@ -230,8 +239,7 @@
           .timer()
           .schedule(Math.min(remainingMillis, Backoff.delayMillis(job, tries++)), this::send);
     } else {
-      result.complete(
-          JobReply.of(Outcome.UNKNOWN, reason + "; ask again with the same request key"));
+      completeAsUnknown(reason);
     }
   }
 
--- a/core/src/test/java/dev/dandelionport/core/engine/JobRouterTest.java
+++ b/core/src/test/java/dev/dandelionport/core/engine/JobRouterTest.java
@@ -84,6 +84,58 @@
     assertThat(f.join().outcome()).isEqualTo(Outcome.UNKNOWN);
   }
 
+  @Test
+  void passedDeadlineAfterSubmitThatMayHaveArrivedIsAnsweredUnknown() {
+    // Guards against the answer that the deadline has passed when a former owner may have started
+    // the job before its record was durable.
+    final CompletableFuture<JobReply> f = harness.router.submit(REPEATABLE, 0, "");
+    harness.last().fail(true);
+    harness.owner = "c";
+    harness.next().reply(Outcome.TOO_LATE);
+    assertThat(f.join().outcome()).isEqualTo(Outcome.UNKNOWN);
+  }
+
+  @Test
+  void conflictAfterSubmitThatMayHaveArrivedIsAnsweredUnknown() {
+    // Guards against the answer that only another request used the key when a former owner may have
+    // started this one before its record was durable.
+    final CompletableFuture<JobReply> f = harness.router.submit(REPEATABLE, 0, "");
+    harness.last().fail(true);
+    harness.owner = "c";
+    harness.next().reply(Outcome.CONFLICT);
+    assertThat(f.join().outcome()).isEqualTo(Outcome.UNKNOWN);
+  }
+
+  @Test
+  void requestThatMayHaveArrivedIsNeverDenied() {
+    // Guards against a new kind of answer that denies a job which may have run.
+    for (Outcome denial : Outcome.values()) {
+      if (denial == Outcome.STATUS) {
+        continue;
+      }
+      RouterHarness h = new RouterHarness();
+      CompletableFuture<JobReply> f = h.router.submit(REPEATABLE, 0, "");
+      h.last().fail(true);
+      for (int i = 0; i < 200 && !f.isDone(); i++) {
+        h.sent.stream().filter(s -> !s.answer().isDone()).toList().forEach(s -> s.reply(denial));
+        h.advance(100);
+      }
+      assertThat(f.join().outcome()).as(denial.name()).isEqualTo(Outcome.UNKNOWN);
+    }
+  }
+
+  @Test
+  void answerBeforeAnySubmitMayHaveArrivedIsFinal() {
+    // Guards against an uncertain answer to a request that certainly reached no owner before.
+    for (Outcome o : List.of(Outcome.TOO_LATE, Outcome.CONFLICT, Outcome.NOT_RUN)) {
+      RouterHarness h = new RouterHarness();
+      CompletableFuture<JobReply> f = h.router.submit(REPEATABLE, 0, "");
+      h.last().fail(false);
+      h.next().reply(o);
+      assertThat(f.join().outcome()).isEqualTo(o);
+    }
+  }
+
   @Test
   void waitingRequestFollowsOwnerChange() {
     // Guards against a waiting caller that is answered early, and has to poll, because its job
