Do not say not_run for a request that was not read

What callers saw: an instance with too many requests or request bodies answered 503 not_run, also to a repeated request whose job runs. The README promises that such a request did not run and will not run.

Cause: RequestAdmission refuses before the request key is known, so it cannot ask the owner, which JobRouter does for the same limits for this reason.

--- a/node/src/main/java/dev/dandelionport/node/request/JobService.java
+++ b/node/src/main/java/dev/dandelionport/node/request/JobService.java
@@ -207,7 +207,7 @@
   }
 
   private static RequestException outcomeUnknown(String reason) {
-    return new RequestException(HttpStatus.GATEWAY_TIMEOUT, "unknown", "", reason, true);
+    return RequestException.unknown(HttpStatus.GATEWAY_TIMEOUT, reason);
   }
 
   private static ObjectNode statusBody(JobStatus s) {
--- a/node/src/main/java/dev/dandelionport/node/request/RequestAdmission.java
+++ b/node/src/main/java/dev/dandelionport/node/request/RequestAdmission.java
@@ -6,7 +6,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Limits the requests being served and the body bytes being received. */
+/**
+ * Limits the requests being served and the body bytes being received. A request over a limit is not
+ * read, so it may repeat one whose job runs, and is answered as unknown.
+ */
 final class RequestAdmission {
 
   private final RequestLimits limits;
@@ -28,7 +31,7 @@
     if (n > limits.pendingRequests() || c > limits.requestsPerClient()) {
       releaseRequest(client);
       String origin = c > limits.requestsPerClient() ? "from this client " : "";
-      throw RequestException.notRun(
+      throw RequestException.unknown(
           HttpStatus.SERVICE_UNAVAILABLE, "too many requests " + origin + "are being served");
     }
   }
@@ -46,7 +49,7 @@
   void reserveBody(long bytes) {
     if (receivingBytes.addAndGet(bytes) > limits.receivingBytes()) {
       receivingBytes.addAndGet(-bytes);
-      throw RequestException.notRun(
+      throw RequestException.unknown(
           HttpStatus.SERVICE_UNAVAILABLE, "too many request bodies are being received");
     }
   }
--- a/node/src/main/java/dev/dandelionport/node/request/RequestException.java
+++ b/node/src/main/java/dev/dandelionport/node/request/RequestException.java
@@ -67,6 +67,11 @@
     return new RequestException(status, "not_run", "", message, true);
   }
 
+  /** Returns the exception for a request of which it is not known whether its job runs. */
+  static RequestException unknown(HttpStatus status, String message) {
+    return new RequestException(status, "unknown", "", message, true);
+  }
+
   HttpStatus status() {
     return status;
   }
