Look an id up without its route while the configuration is outdated

What callers saw: while the configuration was not confirmed, a repeated submission of an accepted workflow whose queue had been removed was refused (503) as never accepted.

Cause: answerWithoutPolicy took the id from the path with the route of the configuration held. Without that route a known id counted as unknown, and an owner that was certain refused it.

Evidence: AdmissionAnswerTest.acceptedIdOfRemovedQueueIsNotRefusedWhileConfigurationIsNotConfirmed got REFUSED on the code before, 1 of 1; it gets an uncertain answer now, and an unknown id is refused as before. FakeSharedStore can keep the changes of a prefix from being read.

Change: the id is the last part of the path, whatever the route.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
@@ -144,10 +144,9 @@
     if (c.kind() == WorkflowCallKind.CANCEL) {
       return submissionGate.refuse(c, POLICY_NOT_CONFIRMED, RETRY_AFTER_MILLIS);
     }
-    Optional<Queue> route = clusterView.policy().route(c.host(), c.path());
-    boolean known =
-        route.flatMap(q -> scheduler.queueOf(c.path().substring(q.prefix().length()))).isPresent();
-    return known
+    // The outdated configuration may lack the route, so the id is taken from the path alone.
+    String id = c.path().substring(c.path().lastIndexOf('/') + 1);
+    return scheduler.queueOf(id).isPresent()
         ? WorkflowAnswer.of(WorkflowStatus.UNCERTAIN)
         : submissionGate.refuse(c, POLICY_NOT_CONFIRMED, RETRY_AFTER_MILLIS);
   }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/AdmissionAnswerTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/AdmissionAnswerTest.java
@@ -50,6 +50,19 @@
     assertThat(submit("w", TOO_LARGE).status()).isEqualTo(WorkflowStatus.OK);
   }
 
+  @Test
+  void acceptedIdOfRemovedQueueIsNotRefusedWhileConfigurationIsNotConfirmed() {
+    // Guards against a refusal of an accepted id whose route the outdated configuration lacks.
+    cell.time.runFor(4_000);
+    assertThat(submit("w", SMALL).status()).isEqualTo(WorkflowStatus.OK);
+    cell.configure(false, PlatformCluster.CEILING);
+    cell.time.runFor(1_000);
+    cell.store.unreadablePrefixes.add("op/");
+    cell.time.runFor(5_000);
+    assertThat(submit("w", SMALL).status()).isEqualTo(WorkflowStatus.UNCERTAIN);
+    assertThat(submit("other", SMALL).status()).isEqualTo(WorkflowStatus.REFUSED);
+  }
+
   @Test
   void answerOfAnOlderProcessIsReadable() {
     // Guards against a field that is required, and a status that an older process does not know.
--- a/core/src/test/java/dev/dandelionport/core/dispatch/FakeSharedStore.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/FakeSharedStore.java
@@ -36,6 +36,9 @@
   final Set<String> refusedCallers = new HashSet<>();
   double lostAnswerFraction;
 
+  /** Prefixes whose changes cannot be read. */
+  final Set<String> unreadablePrefixes = new HashSet<>();
+
   /** Called with each transaction that was applied, before its answer is sent. */
   java.util.function.Consumer<SharedStore.Transaction> committed = t -> {};
 
@@ -213,6 +216,9 @@
       call(
               false,
               () -> {
+                if (unreadablePrefixes.contains(prefix)) {
+                  throw new StoreUnavailableException("changes are not readable", null);
+                }
                 if (after < compacted) {
                   throw new HistoryCompactedException("revision has been compacted");
                 }
