Count a claim that was asked for as possibly made

What callers saw: an owner that had offered its workflows to a larger instance and lost the store at that claim answered 410 to readings and cancellations of its successor's workflows, until two renewals of its lease had failed.

Cause: its lease was valid and its renewals had not failed yet, so it counted as certainly the owner, although it had itself asked the other instance to claim.

Change: from a request to claim on, an owner is not certain until the store has renewed its lease 600 ms later or more: the other instance ends that lease after its claim.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
@@ -74,7 +74,7 @@
     if (!known) {
       // The next owner may have accepted the workflow.
       return answerNow(
-          submissionGate.isOwnershipCertain()
+          submissionGate.ownership().isCertain()
               ? WorkflowAnswer.of(WorkflowStatus.UNKNOWN_WORKFLOW)
               : SubmissionGate.notOwner());
     }
@@ -115,11 +115,13 @@
             id, q.name(), account, body.payload(), body.steps(), body.recurrence(), false);
     // A process that may no longer be the owner refuses nothing: the next owner may have accepted
     // the id. What it accepts is stored only if it still is the owner.
+    Ownership ownership = submissionGate.ownership();
     Optional<Refusal> refusal =
-        submissionGate.isOwnershipCertain() ? scheduler.refusalOf(spec) : Optional.empty();
+        ownership.isRenewed() ? scheduler.refusalOf(spec) : Optional.empty();
     if (refusal.isPresent()) {
       applyDecisions.run();
-      return answerNow(refusalAnswer(refusal.get()));
+      return answerNow(
+          ownership.isCertain() ? refusalAnswer(refusal.get()) : SubmissionGate.notOwner());
     }
     long position = pendingAnswers.position();
     scheduler.submit(spec);
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -43,6 +43,9 @@
   /** Number of renewals in the time to live of the owner's lease. */
   private static final int RENEWALS_PER_LEASE = 4;
 
+  /** Time by which a claim that another instance was asked for has been made, in milliseconds. */
+  private static final long CLAIM_MILLIS = 600;
+
   /** Consecutive failed renewals from which the store counts as unavailable to this instance. */
   private static final int MIN_FAILED_RENEWALS = 2;
 
@@ -59,6 +62,11 @@
   /** Number of renewals that have failed since the latest successful one. */
   private int failedRenewals;
 
+  /** Whether another instance was asked to claim from this one and may have done so. */
+  private boolean claimRequested;
+
+  private long claimRequestedMillis;
+
   /** Lease of this instance while it is the owner. */
   private final OwnerLease lease;
 
@@ -132,9 +140,15 @@
     return isOwner() && failedRenewals >= MIN_FAILED_RENEWALS;
   }
 
+  /** Records that another instance is asked to claim from this one. */
+  void recordClaimRequest() {
+    claimRequested = true;
+    claimRequestedMillis = context.nowMillis();
+  }
+
   /** Returns what this instance knows of its ownership now. */
   Ownership ownership() {
-    return new Ownership(isOwner() && lease.isValid(), isOwnerWithoutStore());
+    return new Ownership(isOwner() && lease.isValid(), isOwnerWithoutStore(), claimRequested);
   }
 
   private void watchChanged() {
@@ -288,6 +302,7 @@
       final Optional<Owner> former = owner;
       renewalSentMillis = context.nowMillis();
       failedRenewals = 0;
+      claimRequested = false;
       lease.grant(c.sent(), context.settings().ownerLeaseMillis());
       updateOwner(Optional.of(new Owner(context.self(), committed.revision(), c.lease())));
       former
@@ -382,6 +397,7 @@
                                     Failures.cause(e).toString());
                               } else if (ok) {
                                 failedRenewals = 0;
+                                claimRequested &= now - claimRequestedMillis < CLAIM_MILLIS;
                                 lease.extend(sent, ttlMillis);
                                 renewed.accept(now);
                               } else if (owner.equals(Optional.of(ownKey))) {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/Ownership.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/Ownership.java
@@ -4,13 +4,19 @@
  * What an owner knows of its ownership at one moment.
  *
  * @param leaseValid whether the lease of its key cannot have expired
- * @param renewalsFail whether the store does not renew the lease, so that another instance may have
- *     been asked to claim
+ * @param renewalsFail whether the store does not renew the lease
+ * @param claimRequested whether another instance was asked to claim, and the lease has not been
+ *     renewed since that claim must have been made
  */
-record Ownership(boolean leaseValid, boolean renewalsFail) {
+record Ownership(boolean leaseValid, boolean renewalsFail, boolean claimRequested) {
 
   /** Returns whether no other instance can have become the owner. */
   boolean isCertain() {
+    return isRenewed() && !claimRequested;
+  }
+
+  /** Returns whether the lease is valid and the store renews it. */
+  boolean isRenewed() {
     return leaseValid && !renewalsFail;
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
@@ -100,9 +100,9 @@
     return new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, retryMillis);
   }
 
-  /** Returns whether no other instance can have become the owner. */
-  boolean isOwnershipCertain() {
-    return storeContact.get().ownership().isCertain();
+  /** Returns what this process knows of its ownership now. */
+  Ownership ownership() {
+    return storeContact.get().ownership();
   }
 
   /** Returns an answer of a process that may no longer be the owner; it is tried again. */
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -205,6 +205,7 @@
   private void offer(InstanceInfo to, DispatchTopic reason) {
     // Only a change of the owner key has an effect, so neither an answer nor a failure is awaited.
     ClaimCall call = new ClaimCall(ownerRevision);
+    election.recordClaimRequest();
     shard.runAfterUnlock(() -> context.peers().request(to, call, OFFER_TIMEOUT_MILLIS));
     context.report(reason, "to", to.id().value(), "token", ownerRevision);
   }
--- a/core/src/test/java/dev/dandelionport/core/dispatch/ReplacedOwnerAnswersTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/ReplacedOwnerAnswersTest.java
@@ -5,11 +5,13 @@
 import dev.dandelionport.core.common.ResourceVector;
 import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
 import dev.dandelionport.core.message.WorkflowStatus;
+import dev.dandelionport.core.port.SharedStore;
 import dev.dandelionport.core.testing.StepSpecs;
 import dev.dandelionport.core.workflow.StepSpec;
 import dev.dandelionport.core.workflow.WorkflowState;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
@@ -108,6 +110,35 @@
     }
   }
 
+  // An owner that had offered its workflows to a larger instance and then lost the store denied the
+  // workflows of its successor until two renewals had failed.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void ownerThatOfferedItsWorkflowsDeniesNoneOfTheNextOwner(long seed) {
+    WorkflowCluster c = new WorkflowCluster(seed, 2, Map.of("large", 9_000L));
+    c.time.runFor(2_000);
+    final WorkflowCluster.Node former = c.owner().orElseThrow();
+    c.store.committed =
+        t -> {
+          if (writesOwnerKey(t)) {
+            c.store.refusedCallers.add(former.name);
+          }
+        };
+    c.start("large");
+    assertThat(c.time.runUntil(() -> isNextOwner(c.nodes.get("large"), former), 20_000)).isTrue();
+    WorkflowCluster.Node next = c.nodes.get("large");
+    assertThat(status(c, c.submit(next, "w", LONG_TASK), 1_000)).isEqualTo(WorkflowStatus.OK);
+    assertThat(former.instance.isOwner()).isTrue();
+    final CompletableFuture<WorkflowAnswer> read = c.read(former, "w");
+    final CompletableFuture<WorkflowAnswer> cancel = c.cancel(former, "w");
+    assertThat(status(c, read, 2_900)).isEqualTo(WorkflowStatus.OK);
+    assertThat(status(c, cancel, 2_900)).isEqualTo(WorkflowStatus.OK);
+  }
+
+  private static boolean writesOwnerKey(SharedStore.Transaction t) {
+    return t.writes().stream().anyMatch(w -> w.key().equals(StoreKeys.OWNER));
+  }
+
   // Guards against an outage of the store for all that takes states from callers that are known.
   @Test
   void knownStateIsReadWhileTheStoreServesNobody() {
