Give no count that is older than the protocol allows

What callers saw: an owner that was cut off gave the number of waiting workflows from memory for up to 3.5 s, although PROTOCOL.md promises a count that is at most 2 s old (rule MIXED), while its successor accepted others.

Change: a count is given if ownership is certain, or if the store confirmed the lease in the last 2 s, by the clock that has advanced more; otherwise the answer is "not the owner", and the router asks the next one. Cost: while the store is down for all, counts end after 2 s and not after 3.5 s.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
@@ -64,9 +64,7 @@
     }
     if (id.isEmpty()) {
       return answerNow(
-          c.kind() == WorkflowCallKind.READ
-              ? new WorkflowAnswer(WorkflowStatus.OK, null, scheduler.countUnstarted(q.name()), 0)
-              : WorkflowAnswer.of(WorkflowStatus.INVALID));
+          c.kind() == WorkflowCallKind.READ ? count(q) : WorkflowAnswer.of(WorkflowStatus.INVALID));
     }
     boolean known =
         scheduler.queueOf(id).filter(q.name()::equals).isPresent()
@@ -88,6 +86,12 @@
     return answerNow(new WorkflowAnswer(WorkflowStatus.OK, state, 0, 0));
   }
 
+  private WorkflowAnswer count(Queue q) {
+    return submissionGate.mayCount()
+        ? new WorkflowAnswer(WorkflowStatus.OK, null, scheduler.countUnstarted(q.name()), 0)
+        : SubmissionGate.notOwner();
+  }
+
   private CompletableFuture<WorkflowAnswer> submit(
       WorkflowCall c, Queue q, String account, String id, Runnable applyDecisions) {
     WorkflowSpec body;
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerElection.java
@@ -148,7 +148,11 @@
 
   /** Returns what this instance knows of its ownership now. */
   Ownership ownership() {
-    return new Ownership(isOwner() && lease.isValid(), isOwnerWithoutStore(), claimRequested);
+    return new Ownership(
+        isOwner() && lease.isValid(),
+        isOwnerWithoutStore(),
+        claimRequested,
+        lease.confirmedAgeMillis());
   }
 
   private void watchChanged() {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLease.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerLease.java
@@ -19,6 +19,7 @@
   private final DispatchContext context;
   private long monotonicDeadlineMillis = Long.MIN_VALUE;
   private long wallDeadlineMillis = Long.MIN_VALUE;
+  private CallTime confirmed = new CallTime(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2);
 
   OwnerLease(DispatchContext context) {
     this.context = context;
@@ -28,6 +29,7 @@
   void grant(CallTime sent, long ttlMillis) {
     monotonicDeadlineMillis = sent.monotonicMillis() + ttlMillis;
     wallDeadlineMillis = sent.wallMillis() + ttlMillis;
+    confirmed = sent;
   }
 
   /** Extends the lease after a renewal that was sent at {@code sent}. */
@@ -37,6 +39,17 @@
     }
   }
 
+  /**
+   * Returns the time since the call that granted or last extended the lease was sent, in
+   * milliseconds, by the clock that has advanced more.
+   */
+  long confirmedAgeMillis() {
+    CallTime now = CallTime.now(context);
+    return Math.max(
+        now.monotonicMillis() - confirmed.monotonicMillis(),
+        now.wallMillis() - confirmed.wallMillis());
+  }
+
   /** Returns whether the lease cannot have expired in the store yet. */
   boolean isValid() {
     return context.nowMillis() < monotonicDeadlineMillis
--- a/core/src/main/java/dev/dandelionport/core/dispatch/Ownership.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/Ownership.java
@@ -7,8 +7,11 @@
  * @param renewalsFail whether the store does not renew the lease
  * @param claimRequested whether another instance was asked to claim, and the lease has not been
  *     renewed since that claim must have been made
+ * @param confirmedAgeMillis time since the latest confirmation of the lease was requested, by the
+ *     clock that has advanced more
  */
-record Ownership(boolean leaseValid, boolean renewalsFail, boolean claimRequested) {
+record Ownership(
+    boolean leaseValid, boolean renewalsFail, boolean claimRequested, long confirmedAgeMillis) {
 
   /** Returns whether no other instance can have become the owner. */
   boolean isCertain() {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
@@ -30,6 +30,9 @@
    */
   private static final long UNSURE_OWNER_RETRY_MILLIS = 250;
 
+  /** Age that callers may expect of a count at most, in milliseconds. */
+  private static final long MAX_COUNT_AGE_MILLIS = 2_000;
+
   /**
    * What an owner knows of its contact to the store.
    *
@@ -105,6 +108,12 @@
     return storeContact.get().ownership();
   }
 
+  /** Returns whether a count that is given now is not older than callers may expect. */
+  boolean mayCount() {
+    Ownership o = ownership();
+    return o.isCertain() || o.confirmedAgeMillis() <= MAX_COUNT_AGE_MILLIS;
+  }
+
   /** Returns an answer of a process that may no longer be the owner; it is tried again. */
   static WorkflowAnswer notOwner() {
     return new WorkflowAnswer(WorkflowStatus.NOT_OWNER, null, 0, UNSURE_OWNER_RETRY_MILLIS);
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -389,9 +389,7 @@
 
   private SubmissionGate.StoreContact storeContact() {
     return new SubmissionGate.StoreContact(
-        journal.blockedMillis(),
-        context.nowMillis() - storeContactMillis(),
-        ownership.get());
+        journal.blockedMillis(), context.nowMillis() - storeContactMillis(), ownership.get());
   }
 
   /** Handles a batch of queued calls, then lets other work run. */
--- a/core/src/test/java/dev/dandelionport/core/dispatch/ReplacedOwnerAnswersTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/ReplacedOwnerAnswersTest.java
@@ -24,6 +24,9 @@
   private static final StepSpec LONG_TASK =
       StepSpecs.longRunning(1, new ResourceVector(0, 0, 1_000, 10, 0));
 
+  /** Age that the protocol allows for a count, in milliseconds. */
+  private static final long COUNT_AGE_MILLIS = 2_000;
+
   private static LongStream seeds() {
     return LongStream.rangeClosed(60, 69);
   }
@@ -139,6 +142,32 @@
     return t.writes().stream().anyMatch(w -> w.key().equals(StoreKeys.OWNER));
   }
 
+  // A count of an owner that was cut off could be older than the protocol allows.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void ownerThatWasCutOffGivesNoOutdatedCount(long seed) {
+    WorkflowCluster c = cluster(seed);
+    WorkflowCluster.Node former = c.owner().orElseThrow();
+    confirmConfiguration(c);
+    cut(c, former);
+    c.time.runFor(500);
+    assertThat(status(c, c.read(former, ""), 50)).isEqualTo(WorkflowStatus.OK);
+    c.time.runFor(COUNT_AGE_MILLIS - 400);
+    final CompletableFuture<WorkflowAnswer> count = c.read(former, "");
+    c.time.runFor(300);
+    assertThat(count).isNotDone();
+    heal(c);
+    assertThat(status(c, count, 2_000)).isEqualTo(WorkflowStatus.OK);
+  }
+
+  /** Changes the configuration twice, so that the answer to a recent call confirms it. */
+  private static void confirmConfiguration(WorkflowCluster c) {
+    for (int i = 0; i < 2; i++) {
+      c.store.put("op/config", "");
+      c.time.runFor(100);
+    }
+  }
+
   // Guards against an outage of the store for all that takes states from callers that are known.
   @Test
   void knownStateIsReadWhileTheStoreServesNobody() {
