--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
@@ -24,6 +24,8 @@
   /** Retry delay sent with a refusal, in milliseconds. */
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
+  private static final String POLICY_NOT_CONFIRMED = "the configuration is not confirmed";
+
   private final WorkflowScheduler scheduler;
   private final ClusterView clusterView;
   private final SubmissionGate submissionGate;
@@ -62,15 +64,17 @@
     }
     if (id.isEmpty()) {
       return answerNow(
-          c.kind() == WorkflowCallKind.READ
-              ? new WorkflowAnswer(WorkflowStatus.OK, null, scheduler.countUnstarted(q.name()), 0)
-              : WorkflowAnswer.of(WorkflowStatus.INVALID));
+          c.kind() == WorkflowCallKind.READ ? count(q) : WorkflowAnswer.of(WorkflowStatus.INVALID));
     }
     boolean known =
         scheduler.queueOf(id).filter(q.name()::equals).isPresent()
             && (q.open() || scheduler.accountOf(id).filter(owner::equals).isPresent());
     if (!known) {
-      return answerNow(WorkflowAnswer.of(WorkflowStatus.UNKNOWN_WORKFLOW));
+      // The next owner may have accepted the workflow.
+      return answerNow(
+          submissionGate.ownership().isCertain()
+              ? WorkflowAnswer.of(WorkflowStatus.UNKNOWN_WORKFLOW)
+              : SubmissionGate.notOwner());
     }
     if (c.kind() == WorkflowCallKind.CANCEL) {
       long position = pendingAnswers.position();
@@ -82,6 +86,12 @@
     return answerNow(new WorkflowAnswer(WorkflowStatus.OK, state, 0, 0));
   }
 
+  private WorkflowAnswer count(Queue q) {
+    return submissionGate.mayCount()
+        ? new WorkflowAnswer(WorkflowStatus.OK, null, scheduler.countUnstarted(q.name()), 0)
+        : SubmissionGate.notOwner();
+  }
+
   private CompletableFuture<WorkflowAnswer> submit(
       WorkflowCall c, Queue q, String account, String id, Runnable applyDecisions) {
     WorkflowSpec body;
@@ -109,11 +119,13 @@
             id, q.name(), account, body.payload(), body.steps(), body.recurrence(), false);
     // A process that may no longer be the owner refuses nothing: the next owner may have accepted
     // the id. What it accepts is stored only if it still is the owner.
+    Ownership ownership = submissionGate.ownership();
     Optional<Refusal> refusal =
-        submissionGate.isOwnershipCertain() ? scheduler.refusalOf(spec) : Optional.empty();
+        ownership.isRenewed() ? scheduler.refusalOf(spec) : Optional.empty();
     if (refusal.isPresent()) {
       applyDecisions.run();
-      return answerNow(refusalAnswer(refusal.get()));
+      return answerNow(
+          ownership.isCertain() ? refusalAnswer(refusal.get()) : SubmissionGate.notOwner());
     }
     long position = pendingAnswers.position();
     scheduler.submit(spec);
@@ -132,15 +144,17 @@
    * workflow that has been accepted must not be reported as refused.
    */
   private WorkflowAnswer answerWithoutPolicy(WorkflowCall c) {
-    if (c.kind() != WorkflowCallKind.SUBMIT) {
+    if (c.kind() == WorkflowCallKind.READ) {
       return new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, RETRY_AFTER_MILLIS);
     }
-    Optional<Queue> route = clusterView.policy().route(c.host(), c.path());
-    boolean known =
-        route.flatMap(q -> scheduler.queueOf(c.path().substring(q.prefix().length()))).isPresent();
-    return known
+    if (c.kind() == WorkflowCallKind.CANCEL) {
+      return submissionGate.refuse(c, POLICY_NOT_CONFIRMED, RETRY_AFTER_MILLIS);
+    }
+    // The outdated configuration may lack the route, so the id is taken from the path alone.
+    String id = c.path().substring(c.path().lastIndexOf('/') + 1);
+    return scheduler.queueOf(id).isPresent()
         ? WorkflowAnswer.of(WorkflowStatus.UNCERTAIN)
-        : submissionGate.refuse(c, "the configuration is not confirmed", RETRY_AFTER_MILLIS);
+        : submissionGate.refuse(c, POLICY_NOT_CONFIRMED, RETRY_AFTER_MILLIS);
   }
 
   private static CompletableFuture<WorkflowAnswer> answerNow(WorkflowAnswer answer) {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/SubmissionGate.java
@@ -30,27 +30,22 @@
    */
   private static final long UNSURE_OWNER_RETRY_MILLIS = 250;
 
+  /** Age that callers may expect of a count at most, in milliseconds. */
+  private static final long MAX_COUNT_AGE_MILLIS = 2_000;
+
   /**
    * What an owner knows of its contact to the store.
    *
    * @param blockedMillis time for which a write has waited while the store accepted none, 0 if none
    *     waits
    * @param contactAgeMillis time since the store last accepted a write or a renewal
-   * @param renewalsFail whether renewals of the owner's lease fail, so that another instance may
-   *     have been asked to replace this one
-   * @param leaseValid whether the owner's lease is certainly valid
+   * @param ownership what it knows of its ownership
    */
-  record StoreContact(
-      long blockedMillis, long contactAgeMillis, boolean renewalsFail, boolean leaseValid) {
+  record StoreContact(long blockedMillis, long contactAgeMillis, Ownership ownership) {
 
     private boolean acceptsWrites() {
       return blockedMillis <= MAX_BLOCKED_MILLIS
-          && (!renewalsFail || contactAgeMillis <= MAX_BLOCKED_MILLIS);
-    }
-
-    /** Returns whether no other instance can have become the owner. */
-    private boolean isOwnershipCertain() {
-      return leaseValid && !renewalsFail;
+          && (!ownership.renewalsFail() || contactAgeMillis <= MAX_BLOCKED_MILLIS);
     }
   }
 
@@ -88,8 +83,8 @@
    */
   private WorkflowAnswer refuse(
       WorkflowCall c, StoreContact contact, String reason, long retryMillis) {
-    if (!contact.isOwnershipCertain()) {
-      return new WorkflowAnswer(WorkflowStatus.NOT_OWNER, null, 0, UNSURE_OWNER_RETRY_MILLIS);
+    if (!contact.ownership().isCertain()) {
+      return notOwner();
     }
     shard.runAfterUnlock(
         () ->
@@ -108,8 +103,19 @@
     return new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, retryMillis);
   }
 
-  /** Returns whether no other instance can have become the owner. */
-  boolean isOwnershipCertain() {
-    return storeContact.get().isOwnershipCertain();
+  /** Returns what this process knows of its ownership now. */
+  Ownership ownership() {
+    return storeContact.get().ownership();
+  }
+
+  /** Returns whether a count that is given now is not older than callers may expect. */
+  boolean mayCount() {
+    Ownership o = ownership();
+    return o.isCertain() || o.confirmedAgeMillis() <= MAX_COUNT_AGE_MILLIS;
+  }
+
+  /** Returns an answer of a process that may no longer be the owner; it is tried again. */
+  static WorkflowAnswer notOwner() {
+    return new WorkflowAnswer(WorkflowStatus.NOT_OWNER, null, 0, UNSURE_OWNER_RETRY_MILLIS);
   }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowInstance.java
@@ -127,8 +127,7 @@
               context,
               shard,
               ownKey.revision(),
-              election::isLeaseValid,
-              election::isOwnerWithoutStore,
+              election::ownership,
               () -> shard.run(() -> election.ownershipLost(ownKey)));
       owner = o;
       shard.runAfterUnlock(o::start);
@@ -206,6 +205,7 @@
   private void offer(InstanceInfo to, DispatchTopic reason) {
     // Only a change of the owner key has an effect, so neither an answer nor a failure is awaited.
     ClaimCall call = new ClaimCall(ownerRevision);
+    election.recordClaimRequest();
     shard.runAfterUnlock(() -> context.peers().request(to, call, OFFER_TIMEOUT_MILLIS));
     context.report(reason, "to", to.id().value(), "token", ownerRevision);
   }
@@ -215,7 +215,9 @@
     if (to.isEmpty()) {
       shard.run(
           () -> {
-            if (!election.isOwner() || election.isRenewalOverdue()) {
+            if (!election.isOwner()
+                || election.isRenewalOverdue()
+                || election.isOwnerWithoutStore()) {
               requestOwnerFromPeer();
             }
           });
