--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowInstanceTest.java
@@ -338,7 +338,18 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void acceptedWorkflowIsNeverRefusedByAnOwnerUnderRandomFaults(long seed) {
-    WorkflowCluster c = new WorkflowCluster(seed, 4);
+    assertAcceptedIsNeverRefusedByAnOwner(new WorkflowCluster(seed, 4), seed);
+  }
+
+  // Guards against an owner that has handed over and refuses what the next one has accepted.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void acceptedWorkflowIsNeverRefusedByAnOwnerOnMachinesOfDifferentSize(long seed) {
+    assertAcceptedIsNeverRefusedByAnOwner(
+        new WorkflowCluster(seed, 4, Map.of("n1", 360L, "n2", 360L, "n3", 700L)), seed);
+  }
+
+  private static void assertAcceptedIsNeverRefusedByAnOwner(WorkflowCluster c, long seed) {
     c.time.runFor(2_000);
     Random random = new Random(seed);
     List<String> accepted = new ArrayList<>();
@@ -428,7 +439,8 @@
         .toList();
   }
 
-  private static void injectFault(WorkflowCluster c, Random random) {
+  /** Injects a random fault, or none. */
+  static void injectFault(WorkflowCluster c, Random random) {
     List<String> names = new ArrayList<>(new TreeSet<>(c.nodes.keySet()));
     if (names.size() == 1) {
       // The test needs one instance to send requests to; the loss of all instances is covered on
