--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowJournal.java
@@ -1,13 +1,8 @@
 package dev.dandelionport.core.dispatch;
 
-import dev.dandelionport.core.common.Failures;
 import dev.dandelionport.core.common.Shard;
 import dev.dandelionport.core.port.SharedStore;
-import dev.dandelionport.core.port.SharedStore.Committed;
 import dev.dandelionport.core.port.SharedStore.Condition;
-import dev.dandelionport.core.port.SharedStore.Entry;
-import dev.dandelionport.core.port.SharedStore.Outcome;
-import dev.dandelionport.core.port.SharedStore.Rejected;
 import dev.dandelionport.core.port.SharedStore.Transaction;
 import dev.dandelionport.core.port.SharedStore.Write;
 import dev.dandelionport.core.workflow.WorkflowCodec;
@@ -16,7 +11,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.function.LongConsumer;
 
 /**
  * Writes records to the store in numbered batches. Each transaction requires that the instance
@@ -44,9 +38,6 @@
   /** Number of batches after which a snapshot replaces them. */
   private static final int BATCHES_PER_SNAPSHOT = 250;
 
-  /** Duration from which a batch is reported as slow, in milliseconds. */
-  private static final long SLOW_BATCH_MILLIS = 500;
-
   /**
    * Operations left for deletions in the transaction of a batch besides its two conditions and one
    * write.
@@ -73,9 +64,8 @@
   }
 
   private final DispatchContext context;
-  private final Shard shard;
-  private final long ownerRevision;
-  private final Runnable onFenced;
+  private final OwnerTransactions transactions;
+  private final SnapshotWriter snapshots;
   private final Deque<Condition> orphanBatches = new ArrayDeque<>();
   private final Deque<String> obsoleteKeys = new ArrayDeque<>();
   private final Deque<Batch> inFlight = new ArrayDeque<>();
@@ -86,21 +76,8 @@
   private long nextBatch;
   private long batchesSinceSnapshot;
   private boolean firstWritePending = true;
-  private boolean snapshotInProgress;
   private boolean writeScheduled;
-  private boolean stopped;
   private long lastWriteMillis;
-  private long lastStoredMillis = Long.MIN_VALUE;
-  private long failingSinceMillis;
-
-  /** Error of the latest failed call since the last successful one; empty if there is none. */
-  private String lastError = "";
-
-  private List<String> snapshotParts;
-  private long headRevision;
-
-  /** Number of the first batch that the next snapshot replaces. */
-  private long firstBatch;
 
   /**
    * Creates a journal.
@@ -116,25 +93,22 @@
       HistoryReader.History history,
       Runnable onFenced) {
     this.context = context;
-    this.shard = shard;
-    this.ownerRevision = ownerRevision;
+    this.transactions =
+        new OwnerTransactions(context, shard, ownerRevision, onFenced, inFlight::size);
+    this.snapshots = new SnapshotWriter(context, shard, transactions, history);
     this.nextBatch = history.nextBatch();
-    this.firstBatch = history.firstBatch();
-    this.batchesSinceSnapshot = nextBatch - firstBatch;
-    this.snapshotParts = new ArrayList<>(history.partKeys());
+    this.batchesSinceSnapshot = nextBatch - history.firstBatch();
     this.orphanBatches.addAll(history.orphanBatches());
     this.obsoleteKeys.addAll(history.obsoleteKeys());
-    this.headRevision = history.headRevision();
-    this.onFenced = onFenced;
   }
 
   void stop() {
-    stopped = true;
+    transactions.stop();
   }
 
   /** Returns whether the latest write failed or got no answer. */
   boolean isFailing() {
-    return failingSinceMillis > 0;
+    return transactions.isFailing();
   }
 
   boolean isIdle() {
@@ -163,7 +137,7 @@
     Batch oldest = inFlight.peek();
     return oldest == null
         ? 0
-        : context.nowMillis() - Math.max(oldest.writtenMillis, lastStoredMillis);
+        : context.nowMillis() - Math.max(oldest.writtenMillis, transactions.lastStoredMillis());
   }
 
   /** Returns the size and age of the data that is not stored yet. */
@@ -179,7 +153,7 @@
 
   /** Appends records; {@code durable} runs under the shard's lock once they are stored. */
   void append(List<WorkflowRecord> newRecords, Runnable callback) {
-    if (stopped) {
+    if (transactions.isStopped()) {
       // A stopped journal makes nothing durable: the next owner must receive the ends from the
       // runners.
       return;
@@ -201,7 +175,10 @@
   private void scheduleWrite() {
     // Orphan batches of a former owner must be deleted before their numbers are used again.
     int maxInFlight = firstWritePending || !orphanBatches.isEmpty() ? 1 : MAX_IN_FLIGHT;
-    if (writeScheduled || stopped || records.isEmpty() || inFlight.size() >= maxInFlight) {
+    if (writeScheduled
+        || transactions.isStopped()
+        || records.isEmpty()
+        || inFlight.size() >= maxInFlight) {
       return;
     }
     long intervalMillis = inFlight.isEmpty() ? WRITE_INTERVAL_MILLIS : BUSY_WRITE_INTERVAL_MILLIS;
@@ -211,7 +188,7 @@
       return;
     }
     writeScheduled = true;
-    schedule(
+    transactions.schedule(
         waitMillis,
         () -> {
           writeScheduled = false;
@@ -219,24 +196,13 @@
         });
   }
 
-  private void schedule(long delayMillis, Runnable action) {
-    context.schedule(
-        shard,
-        delayMillis,
-        () -> {
-          if (!stopped) {
-            action.run();
-          }
-        });
-  }
-
   private void write() {
     lastWriteMillis = context.nowMillis();
     sentRecords = appendedRecords;
     final byte[] bytes = WorkflowCodec.encode(records);
     String key = StoreKeys.batch(nextBatch++);
     List<Condition> conditions = new ArrayList<>();
-    conditions.add(new Condition(StoreKeys.OWNER, ownerRevision));
+    conditions.add(transactions.isOwner());
     conditions.add(new Condition(key, SharedStore.ABSENT));
     List<String> deletes = new ArrayList<>();
     // An attempt without an answer may be applied late, when a snapshot has already replaced this
@@ -260,7 +226,7 @@
 
   private void send(Batch b) {
     b.sending = true;
-    commit(
+    transactions.commit(
         b.transaction,
         b.key,
         revision -> {
@@ -272,7 +238,7 @@
         () -> {
           b.sending = false;
           // Only the oldest batch is retried while the store fails.
-          schedule(
+          transactions.schedule(
               RETRY_MILLIS,
               () -> {
                 if (b == inFlight.peek() && !b.sending && !b.stored) {
@@ -294,84 +260,6 @@
     scheduleWrite();
   }
 
-  /** Sends a transaction; stops the journal if another instance is the owner. */
-  private void commit(Transaction t, String key, LongConsumer onStored, Runnable onFailure) {
-    long sentMillis = context.nowMillis();
-    shard.runAfterUnlock(
-        () ->
-            context
-                .store()
-                .commit(t)
-                .whenComplete(
-                    (o, e) ->
-                        shard.run(
-                            () -> {
-                              if (!stopped) {
-                                commitCompleted(t, key, o, e, sentMillis, onStored, onFailure);
-                              }
-                            })));
-  }
-
-  private void commitCompleted(
-      Transaction t,
-      String key,
-      Outcome o,
-      Throwable e,
-      long sentMillis,
-      LongConsumer onStored,
-      Runnable onFailure) {
-    if (e != null) {
-      failingSinceMillis = failingSinceMillis == 0 ? sentMillis : failingSinceMillis;
-      lastError = Failures.cause(e).toString();
-      onFailure.run();
-      return;
-    }
-    long revision = storedRevision(t, key, o);
-    if (revision == SharedStore.ABSENT) {
-      stopped = true;
-      onFenced.run();
-      return;
-    }
-    long millis = context.nowMillis() - (failingSinceMillis > 0 ? failingSinceMillis : sentMillis);
-    if (millis > SLOW_BATCH_MILLIS) {
-      context.report(
-          DispatchTopic.BATCH_SLOW,
-          "key",
-          key,
-          "millis",
-          millis,
-          "error",
-          lastError,
-          "waiting",
-          inFlight.size());
-    }
-    failingSinceMillis = 0;
-    lastError = "";
-    lastStoredMillis = context.nowMillis();
-    onStored.accept(revision);
-  }
-
-  /**
-   * Returns the revision of a key written by a transaction, or by an earlier attempt of it whose
-   * answer was lost; {@link SharedStore#ABSENT} if another instance is the owner.
-   */
-  private long storedRevision(Transaction t, String key, Outcome o) {
-    if (o instanceof Committed c) {
-      return c.revision();
-    }
-    if (!(o instanceof Rejected r)) {
-      return SharedStore.ABSENT;
-    }
-    boolean stillOwner = false;
-    long revision = SharedStore.ABSENT;
-    for (Entry x : r.current()) {
-      stillOwner |= x.key().equals(StoreKeys.OWNER) && x.revision() == ownerRevision;
-      boolean changed = !t.conditions().contains(new Condition(key, x.revision()));
-      revision = x.key().equals(key) && changed ? x.revision() : revision;
-    }
-    return stillOwner ? revision : SharedStore.ABSENT;
-  }
-
   /** Returns whether enough batches were written for a snapshot and none is in progress. */
   boolean isSnapshotDue() {
     // Before this owner's first batch, a snapshot would use the number, and so the keys, of an
@@ -379,60 +267,13 @@
     return !firstWritePending
         && batchesSinceSnapshot >= BATCHES_PER_SNAPSHOT
         && isIdle()
-        && !snapshotInProgress
-        && !stopped;
+        && !snapshots.isInProgress()
+        && !transactions.isStopped();
   }
 
   /** Writes a snapshot of all batches so far; later batches then delete what it replaces. */
   void writeSnapshot(List<WorkflowRecord> snapshotRecords) {
     batchesSinceSnapshot = 0;
-    snapshotInProgress = true;
-    long number = nextBatch - 1;
-    List<byte[]> parts = SnapshotParts.split(snapshotRecords);
-    List<String> keys = new ArrayList<>();
-    for (int i = 0; i < parts.size(); i++) {
-      keys.add(StoreKeys.snapshotPart(number, i));
-    }
-    writePart(number, parts, keys, 0);
-  }
-
-  private void writePart(long number, List<byte[]> parts, List<String> keys, int i) {
-    boolean last = i == parts.size();
-    String key = last ? StoreKeys.SNAPSHOT_HEAD : keys.get(i);
-    byte[] value = last ? SnapshotHead.encode(number, parts.size()) : parts.get(i);
-    Transaction t =
-        new Transaction(
-            List.of(
-                new Condition(StoreKeys.OWNER, ownerRevision),
-                // An attempt without an answer may be applied late; it must not overwrite a newer
-                // snapshot.
-                new Condition(key, last ? headRevision : SharedStore.ABSENT)),
-            List.of(new Write(key, value, SharedStore.NO_LEASE)),
-            List.of());
-    commit(
-        t,
-        key,
-        revision -> {
-          if (last) {
-            headRevision = revision;
-            snapshotWritten(number, keys);
-          } else {
-            writePart(number, parts, keys, i + 1);
-          }
-        },
-        () -> schedule(RETRY_MILLIS, () -> writePart(number, parts, keys, i)));
-  }
-
-  private void snapshotWritten(long number, List<String> keys) {
-    snapshotInProgress = false;
-    obsoleteKeys.addAll(snapshotParts);
-    snapshotParts = keys;
-    for (long n = firstBatch; n <= number; n++) {
-      obsoleteKeys.add(StoreKeys.batch(n));
-    }
-    firstBatch = number + 1;
-    shard.runAfterUnlock(
-        () ->
-            context.report(DispatchTopic.SNAPSHOT_WRITTEN, "batch", number, "parts", keys.size()));
+    snapshots.write(nextBatch - 1, snapshotRecords, obsoleteKeys::addAll);
   }
 }
