Let clients of the virtual cluster return with the same id

In the virtual cluster a client handed its id in once, at one instance, and a refusal of it was final, so a wrong rejection was hardly ever seen.

Each try has its own payload, so a start tells which try was stored. Two checks, at each start and at each answer after one: not all tries are rejected, and the stored try is not. Other tests draw the same random numbers as before.

--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformInvariants.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformInvariants.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Records what clients and runners observe of workflows, and checks the invariants that a start
@@ -51,10 +52,15 @@
   private record DoneRun(TaskKey key, int run) {}
 
   /** A start order that a runner is about to execute. */
-  record Start(TaskKey task, int run, String runner, String checkpoint, boolean late) {}
+  record Start(
+      TaskKey task, int run, String runner, String payload, String checkpoint, boolean late) {}
 
   final Map<String, Submitted> workflows = new HashMap<>();
   final List<String> violations = new ArrayList<>();
+
+  /** Called with each start before it is checked. */
+  Consumer<Start> startListener = s -> {};
+
   final Map<String, ResourceVector> ceilings = new HashMap<>();
   private final Set<TaskKey> done = new HashSet<>();
 
@@ -172,6 +178,7 @@
 
   /** Checks a start against the running tasks, which are given for each runner that is up. */
   void checkStart(Start s, long now, Map<String, Set<TaskKey>> running, ResourceVector capacity) {
+    startListener.accept(s);
     String start = now + " " + s.task() + " run " + s.run() + " on " + s.runner() + ": ";
     Submitted w = workflows.get(s.task().workflow());
     if (w == null) {
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunners.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PlatformRunners.java
@@ -306,7 +306,7 @@
     Map<String, Set<TaskKey>> running = new HashMap<>();
     incarnations.forEach((r, x) -> running.put(r, x.running.keySet()));
     invariants.checkStart(
-        new PlatformInvariants.Start(o.task(), o.run(), id, o.checkpoint(), late),
+        new PlatformInvariants.Start(o.task(), o.run(), id, o.payload(), o.checkpoint(), late),
         time.nowMillis(),
         running,
         CAPACITY);
--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -26,6 +26,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -146,6 +147,10 @@
   final Map<String, Node> nodes = new HashMap<>();
   final java.util.Set<String> cutInstances = new java.util.HashSet<>();
   final List<Report> reports = new ArrayList<>();
+
+  /** Faults of the messages between instances; none by default. */
+  MessageFaults messageFaults = new MessageFaults(0);
+
   private final Map<String, Long> capacities;
 
   /** Names of the instances that began to serve as the owner, in order. */
@@ -247,27 +252,25 @@
       return f;
     }
     time.afterNanos(
-        time.latencyNanos(2),
+        time.latencyNanos(2) + TimeUnit.MILLISECONDS.toNanos(messageFaults.delayMillis()),
         () -> {
           Node to = nodes.get(peer.host());
           if (to == null || !to.info.equals(peer)) {
             time.afterMillis(1, fail.apply(PeerException.processEnded("connection refused", null)));
             return;
           }
-          to.process.run(
-              () ->
-                  to.instance
-                      .receive(m)
-                      .whenComplete(
-                          (a, e) ->
-                              time.afterNanos(
-                                  time.latencyNanos(2),
-                                  () -> from.process.run(() -> f.complete(a)))));
+          to.process.run(() -> to.instance.receive(m).whenComplete((a, e) -> answer(from, a, f)));
         });
     time.afterMillis(timeout, fail.apply(new PeerException("no answer", true, null)));
     return f;
   }
 
+  private void answer(Node to, PeerMessage m, CompletableFuture<PeerMessage> f) {
+    if (!messageFaults.losesAnswer()) {
+      time.afterNanos(time.latencyNanos(2), () -> to.process.run(() -> f.complete(m)));
+    }
+  }
+
   /** Submits a workflow through an instance. */
   CompletableFuture<WorkflowAnswer> submit(Node node, String id, StepSpec... steps) {
     WorkflowSpec spec =
@@ -292,8 +295,7 @@
 
   CompletableFuture<WorkflowAnswer> call(
       Node node, WorkflowCallKind kind, String path, String key, byte[] body) {
-    long deadline =
-        java.util.concurrent.TimeUnit.NANOSECONDS.toMillis(node.process.monotonicNanos());
+    long deadline = TimeUnit.NANOSECONDS.toMillis(node.process.monotonicNanos());
     return node.instance.call(new WorkflowCall(kind, "h", path, key, body), deadline + 3_000);
   }
 
