Name the rejections in the check of all tries, apart from the code that it checks

SubmissionTries asked WorkflowStatus.deniesEffect, so a change of that method would have changed the check too. EnumSet.contains is false for a null status, as before. ReturningClientsTest passes.

--- a/core/src/test/java/dev/dandelionport/core/dispatch/SubmissionTries.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/SubmissionTries.java
@@ -3,9 +3,11 @@
 import dev.dandelionport.core.message.WorkflowStatus;
 import dev.dandelionport.core.testing.VirtualTime;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /**
@@ -15,6 +17,14 @@
  */
 final class SubmissionTries {
 
+  /** Answers that say that a request had no effect. */
+  private static final Set<WorkflowStatus> REJECTIONS =
+      EnumSet.of(
+          WorkflowStatus.REFUSED,
+          WorkflowStatus.NO_ACCOUNT,
+          WorkflowStatus.NO_QUEUE,
+          WorkflowStatus.INVALID);
+
   /** One request to submit a workflow. */
   static final class Try {
     /** Number of the try among those of its workflow, from 0. */
@@ -44,7 +54,7 @@
     }
 
     private boolean isRejected() {
-      return status != null && status.deniesEffect();
+      return REJECTIONS.contains(status);
     }
 
     @Override
