--- a/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/WorkflowCluster.java
@@ -1,5 +1,7 @@
 package dev.dandelionport.core.dispatch;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import dev.dandelionport.core.common.InstanceId;
 import dev.dandelionport.core.common.ResourceVector;
 import dev.dandelionport.core.message.PeerMessage;
@@ -19,6 +21,7 @@
 import dev.dandelionport.core.workflow.WorkflowCodec;
 import dev.dandelionport.core.workflow.WorkflowLimits;
 import dev.dandelionport.core.workflow.WorkflowSpec;
+import dev.dandelionport.core.workflow.WorkflowState;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -299,6 +302,17 @@
     return node.instance.call(new WorkflowCall(kind, "h", path, key, body), deadline + 3_000);
   }
 
+  /** Returns an answer, which must be given within 10 s. */
+  WorkflowAnswer await(CompletableFuture<WorkflowAnswer> f) {
+    assertThat(time.runUntil(f::isDone, 10_000)).isTrue();
+    return f.join();
+  }
+
+  /** Returns whether an instance shows a workflow as completed. */
+  boolean isCompleted(String id) {
+    return await(read(anyNode(), id)).state() == WorkflowState.COMPLETED;
+  }
+
   Node anyNode() {
     List<String> names = new ArrayList<>(new java.util.TreeSet<>(nodes.keySet()));
     return nodes.get(names.get(time.random().nextInt(names.size())));
