--- a/standin/src/main/java/dev/dandelionport/standin/fleet/FleetPlatform.java
+++ b/standin/src/main/java/dev/dandelionport/standin/fleet/FleetPlatform.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Function;
 
 /**
  * Stand-in for the users' platform that serves the metadata store, the runners and the advice
@@ -42,6 +43,11 @@
 
   /** Starts the platform with {@code runnerCount} runners and a configuration. */
   public FleetPlatform(int runnerCount) {
+    this(runnerCount, id -> (change, task, run) -> {});
+  }
+
+  /** Starts the platform; {@code listeners} returns the listener of the runner with an id. */
+  public FleetPlatform(int runnerCount, Function<String, RunListener> listeners) {
     server =
         Server.builder()
             .http(new InetSocketAddress("127.0.0.1", 0))
@@ -50,9 +56,9 @@
             .build();
     server.start().join();
     for (int i = 0; i < runnerCount; i++) {
-      String id = "i-" + i;
-      runnerHandler.add(id);
-      put("servers/" + id, runnerEntry(i));
+      String id = runnerId(i);
+      runnerHandler.add(id, listeners.apply(id));
+      registerRunner(i, port());
     }
     put("op/config", configuration(1));
   }
@@ -68,14 +74,30 @@
     executor.submit(() -> store.apply(Map.of(key, text), Map.of(), List.of()));
   }
 
-  private String runnerEntry(int index) {
+  /** Returns the value of a key of the metadata store; empty if the key does not exist. */
+  public Optional<String> value(String key) {
+    return CompletableFuture.supplyAsync(() -> store.get(key), executor)
+        .join()
+        .map(i -> new String(Base64.getDecoder().decode(i.value()), StandardCharsets.UTF_8));
+  }
+
+  /** Writes the entry of a runner, which names {@code runnerPort} as the port to call it at. */
+  public void registerRunner(int index, int runnerPort) {
+    put("servers/" + runnerId(index), runnerEntry(index, runnerPort));
+  }
+
+  private static String runnerId(int index) {
+    return "i-" + index;
+  }
+
+  private String runnerEntry(int index, int runnerPort) {
     return ("{\"service\":\"svc\",\"address\":\"127.0.0.1:%d\",\"zone\":\"zone-%d\","
             + "\"version\":\"v1\",\"slots\":8,"
             + "\"state\":\"ready\",\"cold-remaining-ms\":0,"
             + "\"capacity\":{\"cpu\":16000,\"mem-mb\":32768,\"gpu\":0},"
             + "\"labels\":[\"a\",\"r1-%d\"],\"clock-ms\":1,\"seq\":1,"
             + "\"born\":%d}")
-        .formatted(port(), index % 3, index / 8, runnersStartMillis);
+        .formatted(runnerPort, index % 3, index / 8, runnersStartMillis);
   }
 
   /** Returns a configuration with one queue that needs advice and one client account. */
--- a/standin/src/main/java/dev/dandelionport/standin/fleet/FleetRunner.java
+++ b/standin/src/main/java/dev/dandelionport/standin/fleet/FleetRunner.java
@@ -29,6 +29,7 @@
   public record FinishedRun(long number, String task, int run, String outcome) {}
 
   private final ToLongFunction<String> runDurationMillis;
+  private final RunListener listener;
   private final Map<String, ActiveRun> active = new LinkedHashMap<>();
   private final Map<String, Integer> highestClosedRun = new HashMap<>();
   private final List<FinishedRun> unacknowledged = new ArrayList<>();
@@ -41,8 +42,18 @@
     this(FleetRunner::parseRunMillis);
   }
 
+  /** Creates a runner that takes the duration of a run from its payload and reports its runs. */
+  FleetRunner(RunListener listener) {
+    this(FleetRunner::parseRunMillis, listener);
+  }
+
   FleetRunner(ToLongFunction<String> runDurationMillis) {
+    this(runDurationMillis, (change, task, run) -> {});
+  }
+
+  private FleetRunner(ToLongFunction<String> runDurationMillis, RunListener listener) {
     this.runDurationMillis = runDurationMillis;
+    this.listener = listener;
   }
 
   private static long parseRunMillis(String payload) {
@@ -71,6 +82,7 @@
     }
     boolean fails = payload.equals("fail");
     active.put(task, new ActiveRun(task, run, now + runDurationMillis.applyAsLong(payload), fails));
+    listener.runChanged("started", task, run);
     return Optional.empty();
   }
 
@@ -110,6 +122,7 @@
     active.remove(p.task());
     highestClosedRun.merge(p.task(), p.run(), Math::max);
     unacknowledged.add(new FinishedRun(++lastFinishedNumber, p.task(), p.run(), outcome));
+    listener.runChanged(outcome, p.task(), p.run());
   }
 
   /** Returns the runs that have not ended. */
--- a/standin/src/main/java/dev/dandelionport/standin/fleet/RunnerHandler.java
+++ b/standin/src/main/java/dev/dandelionport/standin/fleet/RunnerHandler.java
@@ -31,8 +31,8 @@
     this.incarnation = incarnation;
   }
 
-  void add(String id) {
-    runners.put(id, new FleetRunner());
+  void add(String id, RunListener listener) {
+    runners.put(id, new FleetRunner(listener));
   }
 
   /** Handles a request; empty if the path belongs neither to a runner nor to the advice service. */
@@ -56,6 +56,8 @@
     String task = n.path("task").asText();
     int run = n.path("run-id").asInt();
     if (path.equals("/run-start")) {
+      // The listeners hear of all ends before this start.
+      runners.values().forEach(x -> x.endDueRuns(now()));
       Optional<String> refusal =
           runner.start(task, run, n.path("spec").asText(), n.path("until-ms").asLong(), now());
       return completed(refusal.map(RunnerHandler::refused).orElseGet(() -> ok(clockJson())));
