Answer clients outside the lock of the owner's shard

Cause: PendingAnswers completed its answers under the lock; Shard asks for completions to run after it.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
@@ -1,6 +1,7 @@
 package dev.dandelionport.core.dispatch;
 
 import dev.dandelionport.core.admission.Refusal;
+import dev.dandelionport.core.common.Shard;
 import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
 import dev.dandelionport.core.message.PeerMessage.WorkflowCall;
 import dev.dandelionport.core.message.WorkflowCallKind;
@@ -29,13 +30,17 @@
   private final WorkflowScheduler scheduler;
   private final ClusterView clusterView;
   private final SubmissionGate submissionGate;
-  private final PendingAnswers pendingAnswers = new PendingAnswers();
+  private final PendingAnswers pendingAnswers;
 
   ClientRequestHandler(
-      WorkflowScheduler scheduler, ClusterView clusterView, SubmissionGate submissionGate) {
+      Shard shard,
+      WorkflowScheduler scheduler,
+      ClusterView clusterView,
+      SubmissionGate submissionGate) {
     this.scheduler = scheduler;
     this.clusterView = clusterView;
     this.submissionGate = submissionGate;
+    this.pendingAnswers = new PendingAnswers(shard);
   }
 
   void setJournal(WorkflowJournal j) {
--- a/core/src/main/java/dev/dandelionport/core/dispatch/PendingAnswers.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/PendingAnswers.java
@@ -1,5 +1,6 @@
 package dev.dandelionport.core.dispatch;
 
+import dev.dandelionport.core.common.Shard;
 import dev.dandelionport.core.message.PeerMessage.WorkflowAnswer;
 import dev.dandelionport.core.message.WorkflowStatus;
 import java.util.HashMap;
@@ -29,8 +30,13 @@
   /** Accepted workflows whose records are not durable yet, with the position of their records. */
   private final Map<String, Long> undurableWorkflows = new HashMap<>();
 
+  private final Shard shard;
   private WorkflowJournal journal;
 
+  PendingAnswers(Shard shard) {
+    this.shard = shard;
+  }
+
   void setJournal(WorkflowJournal j) {
     journal = j;
   }
@@ -69,7 +75,7 @@
         () -> {
           answers.remove(p);
           onDurable.run();
-          p.answer().complete(new WorkflowAnswer(WorkflowStatus.OK, null, 0, 0));
+          complete(p, WorkflowStatus.OK);
         });
     return p.answer();
   }
@@ -82,10 +88,12 @@
   void close() {
     for (Pending p : answers) {
       boolean unsent = p.position() >= journal.sentRecords();
-      p.answer()
-          .complete(
-              WorkflowAnswer.of(unsent ? WorkflowStatus.NOT_OWNER : WorkflowStatus.UNCERTAIN));
+      complete(p, unsent ? WorkflowStatus.NOT_OWNER : WorkflowStatus.UNCERTAIN);
     }
     answers.clear();
   }
+
+  private void complete(Pending p, WorkflowStatus status) {
+    shard.runAfterUnlock(() -> p.answer().complete(WorkflowAnswer.of(status)));
+  }
 }
--- a/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/WorkflowOwner.java
@@ -91,7 +91,7 @@
     this.adviceDispatcher = new AdviceDispatcher(context, shard, this::handleAdvice);
     this.requestHandler =
         new ClientRequestHandler(
-            scheduler, clusterView, new SubmissionGate(context, shard, this::storeContact));
+            shard, scheduler, clusterView, new SubmissionGate(context, shard, this::storeContact));
     this.queuedCalls = new RecoveryCallQueue(context, shard);
     this.claimedMillis = context.nowMillis();
     this.renewedMillis = claimedMillis;
--- a/core/src/test/java/dev/dandelionport/core/dispatch/PendingAnswersTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/PendingAnswersTest.java
@@ -24,7 +24,7 @@
           1,
           new HistoryReader.History(List.of(), 1, 1, List.of(), 0, List.of(), List.of()),
           () -> {});
-  private final PendingAnswers answers = new PendingAnswers();
+  private final PendingAnswers answers = new PendingAnswers(shard);
 
   PendingAnswersTest() {
     answers.setJournal(journal);
