--- a/core/src/test/java/dev/dandelionport/core/dispatch/SingleMessageTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/SingleMessageTest.java
@@ -92,4 +92,42 @@
     assertThat(counts).containsKeys(WorkflowStatus.OK, WorkflowStatus.NOT_OWNER);
     assertThat(stored).allMatch(id -> !answers.containsKey(id) || !answers.get(id).deniesEffect());
   }
+
+  // Guards against a message that an owner answers as without effect when it is stopped as planned,
+  // although its record is stored.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void messageToOwnerThatHandsOverIsNotStoredIfAnsweredAsWithoutEffect(long seed) {
+    WorkflowCluster c = new WorkflowCluster(seed, 4);
+    c.store.committed = this::recordStored;
+    Random random = new Random(seed);
+    for (int i = 0; i < SUBMISSIONS; i++) {
+      send(c.owner().orElse(c.anyNode()), "w" + i, 100 + random.nextInt(2_900));
+      c.store.lostAnswerFraction = random.nextInt(3) == 0 ? random.nextDouble() : 0;
+      if (i % 20 == 0) {
+        c.owner().ifPresent(o -> replace(c, o));
+      }
+      c.time.runFor(random.nextInt(25));
+    }
+    c.store.lostAnswerFraction = 0;
+    c.time.runFor(20_000);
+    assertThat(answers).containsValues(WorkflowStatus.OK, WorkflowStatus.NOT_OWNER);
+    assertThat(stored).allMatch(id -> !answers.containsKey(id) || !answers.get(id).deniesEffect());
+  }
+
+  /** Stops an instance as planned and starts it anew when it has handed over. */
+  private static void replace(WorkflowCluster c, WorkflowCluster.Node n) {
+    n.instance
+        .handOver()
+        .thenRun(
+            () ->
+                c.time.afterMillis(
+                    300,
+                    () -> {
+                      if (c.nodes.get(n.name) == n) {
+                        c.kill(n.name);
+                        c.start(n.name);
+                      }
+                    }));
+  }
 }
