Find a known id after any prefix while the configuration is outdated

What callers saw: while the configuration was not confirmed, a repeated submission of an accepted workflow was refused (503) if the prefix of its queue does not end with a slash.

Cause: the last part of the path was taken as the id; a prefix need not end with a slash.

Change: a path that ends with a known id is known. This is asked only while the configuration is not confirmed.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
@@ -15,6 +15,7 @@
 import dev.dandelionport.core.workflow.WorkflowState;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 
 /**
  * Handles client requests at the owner: selects the queue by host and path, checks the access key,
@@ -155,13 +156,17 @@
     if (c.kind() == WorkflowCallKind.CANCEL) {
       return submissionGate.refuse(c, POLICY_NOT_CONFIRMED, RETRY_AFTER_MILLIS);
     }
-    // The outdated configuration may lack the route, so the id is taken from the path alone.
-    String id = c.path().substring(c.path().lastIndexOf('/') + 1);
-    return scheduler.queueOf(id).isPresent()
+    return endsWithKnownId(c.path())
         ? WorkflowAnswer.of(WorkflowStatus.UNCERTAIN)
         : submissionGate.refuse(c, POLICY_NOT_CONFIRMED, RETRY_AFTER_MILLIS);
   }
 
+  /** Returns whether a path ends with a known id; the outdated configuration may lack its route. */
+  private boolean endsWithKnownId(String path) {
+    return IntStream.range(0, path.length())
+        .anyMatch(i -> scheduler.queueOf(path.substring(i)).isPresent());
+  }
+
   private static CompletableFuture<WorkflowAnswer> answerNow(WorkflowAnswer answer) {
     return CompletableFuture.completedFuture(answer);
   }
