Refuse a reading in time also after a lost answer

What callers saw: a reading whose first answer was lost was held until its deadline (19.9 s of 20 s) while no owner answered, and not refused after 2.5 s as one without a lost answer.

Cause: a lost answer made a reading uncertain like a submission, although a reading has no effect.

Change: only a submission or cancellation becomes uncertain. What follows an attempt is a switch over its status.

--- a/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/OwnerRouter.java
@@ -74,7 +74,7 @@
 
     private final AtomicInteger attempts = new AtomicInteger();
 
-    /** Number of attempts that made the request uncertain. */
+    /** Number of attempts that had no definite answer. */
     private final AtomicInteger unanswered = new AtomicInteger();
 
     /** Id of the instance that gave the last answer, empty if none did. */
@@ -139,43 +139,53 @@
       }
     }
 
-    /** Notes that the present attempt may have an effect and has no definite answer. */
-    private void attemptUnanswered() {
-      unanswered.incrementAndGet();
-      uncertain = true;
-    }
-
     private void attemptCompleted(InstanceInfo owner, WorkflowAnswer a, Throwable e) {
       if (e == null) {
         lastAnswerer = owner.id().value();
+        attemptAnswered(a);
+        return;
       }
-      if (e != null) {
-        Throwable cause = Failures.cause(e);
-        if (!(cause instanceof PeerException p) || p.mayHaveBeenReceived()) {
+      Throwable cause = Failures.cause(e);
+      if (!(cause instanceof PeerException p) || p.mayHaveBeenReceived()) {
+        attemptUnanswered();
+      }
+      retryAfter(RETRY_MILLIS);
+    }
+
+    private void attemptAnswered(WorkflowAnswer a) {
+      switch (a.status()) {
+        case UNCERTAIN -> {
           attemptUnanswered();
+          retryAfter(RETRY_MILLIS);
+        }
+        case NOT_OWNER -> retryAfter(Math.max(RETRY_MILLIS, a.retryMillis()));
+        case REFUSED -> {
+          if (uncertain) {
+            // Another attempt may find it accepted.
+            retryAfter(REFUSED_RETRY_MILLIS);
+          } else {
+            answer.complete(a);
+          }
+        }
+        default -> {
+          if (uncertain && a.status().deniesEffect()) {
+            // Another attempt would most likely get the same answer.
+            completeHere(
+                WorkflowAnswer.of(WorkflowStatus.UNCERTAIN),
+                a.status() + " after an attempt without an answer");
+          } else {
+            answer.complete(a);
+          }
         }
-        retryAfter(RETRY_MILLIS);
-      } else if (a.status() == WorkflowStatus.UNCERTAIN) {
-        attemptUnanswered();
-        retryAfter(RETRY_MILLIS);
-      } else if (a.status() == WorkflowStatus.NOT_OWNER) {
-        retryAfter(Math.max(RETRY_MILLIS, a.retryMillis()));
-      } else if (a.status() == WorkflowStatus.REFUSED && isOutcomeUnknown()) {
-        // Another attempt may find it accepted.
-        retryAfter(REFUSED_RETRY_MILLIS);
-      } else if (a.status().deniesEffect() && isOutcomeUnknown()) {
-        // Only a changed configuration could change this answer, so no attempt follows.
-        completeHere(
-            WorkflowAnswer.of(WorkflowStatus.UNCERTAIN),
-            a.status() + " after an attempt without an answer");
-      } else {
-        answer.complete(a);
       }
     }
 
-    /** Returns whether an earlier attempt may have an effect that a later answer does not tell. */
-    private boolean isOutcomeUnknown() {
-      return uncertain && call.kind() != WorkflowCallKind.READ;
+    /** Notes that the present attempt has no definite answer. A reading never has an effect. */
+    private void attemptUnanswered() {
+      unanswered.incrementAndGet();
+      if (call.kind() != WorkflowCallKind.READ) {
+        uncertain = true;
+      }
     }
 
     /** Tries again after a delay, or earlier if the deadline requires it. */
@@ -195,7 +205,7 @@
         return;
       }
       completeHere(
-          isOutcomeUnknown()
+          uncertain
               ? WorkflowAnswer.of(WorkflowStatus.UNCERTAIN)
               : new WorkflowAnswer(WorkflowStatus.REFUSED, null, 0, RETRY_AFTER_MILLIS),
           "no owner answered");
--- a/core/src/test/java/dev/dandelionport/core/dispatch/OwnerRouterTest.java
+++ b/core/src/test/java/dev/dandelionport/core/dispatch/OwnerRouterTest.java
@@ -310,4 +310,14 @@
     assertThat(call(WorkflowCallKind.READ).status()).isEqualTo(WorkflowStatus.OK);
     assertThat(requests).isEqualTo(4);
   }
+
+  // A reading whose first answer was lost was held until a distant deadline while no owner
+  // answered.
+  @Test
+  void readingIsRefusedInTimeAlsoAfterLostAnswer() {
+    peerAnswer = lostThen(() -> of(WorkflowStatus.NOT_OWNER));
+    long start = time.nowMillis();
+    assertThat(call(WorkflowCallKind.READ, 20_000).status()).isEqualTo(WorkflowStatus.REFUSED);
+    assertThat(time.nowMillis() - start).isLessThanOrEqualTo(2_600);
+  }
 }
