--- a/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
+++ b/core/src/main/java/dev/dandelionport/core/dispatch/ClientRequestHandler.java
@@ -48,7 +48,7 @@
     pendingAnswers.setJournal(j);
   }
 
-  /** Handles a request; {@code decided} executes the scheduler's decisions about it. */
+  /** Handles a request; {@code applyDecisions} carries out the decisions about it. */
   CompletableFuture<WorkflowAnswer> handle(WorkflowCall c, Runnable applyDecisions) {
     if (!clusterView.isPolicyCurrent()) {
       return answerNow(answerWithoutPolicy(c));
